--- /dev/null
+++ b/crates/core/src/process/mesh.rs
@@ -0,0 +1,228 @@
+//! The other nodes of the fleet, as this node hears them.
+
+use crate::{
+    ids::DataCentre,
+    time::{Span, Timestamp},
+};
+use rand::{seq::IteratorRandom, Rng};
+use std::{collections::HashMap, net::SocketAddr};
+
+/// `NodeState` is what a node says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NodeState {
+    /// The node cannot serve requests yet.
+    Starting,
+    /// The node serves requests.
+    Ready,
+    /// The node stops and should get no new callers.
+    Stopping,
+}
+
+/// `Hello` is what a node tells the others of itself at short intervals.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Hello {
+    /// A number drawn at each start.
+    pub start: u64,
+    /// Where callers connect.
+    pub entry: SocketAddr,
+    /// The node's data centre.
+    pub zone: DataCentre,
+    /// What it says of itself.
+    pub state: NodeState,
+    /// The version of its configuration, zero without one.
+    pub version: u64,
+    /// The position up to which it knows the registrations of servers, zero without any.
+    pub servers: u64,
+}
+
+/// `MeshOptions` holds the intervals between messages and the limits of the fan-out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MeshOptions {
+    /// The time between two messages to a node of the own data centre.
+    pub near: Span,
+    /// The time between two messages to a node of another data centre. It is longer because traffic between data
+    /// centres is paid for.
+    pub far: Span,
+    /// The intervals of silence after which a node counts as lost.
+    pub missed: u64,
+    /// The most nodes of the own data centre that get each message.
+    pub fan_near: usize,
+    /// The most nodes of each other data centre that get each message.
+    pub fan_far: usize,
+}
+
+impl Default for MeshOptions {
+    fn default() -> Self {
+        MeshOptions {
+            near: Span::from_millis(400),
+            far: Span::from_millis(1_000),
+            missed: 3,
+            fan_near: 24,
+            fan_far: 4,
+        }
+    }
+}
+
+/// How long the address of a silent node is kept, so that it is found again after a partition.
+const FORGET: Span = Span::from_secs(60);
+
+#[derive(Clone, Debug)]
+struct Peer {
+    hello: Option<Hello>,
+    heard: Timestamp,
+    told: Option<Timestamp>,
+}
+
+/// `Mesh` holds what is known of the other nodes.
+#[derive(Clone, Debug)]
+pub struct Mesh {
+    options: MeshOptions,
+    own: SocketAddr,
+    zone: DataCentre,
+    peers: HashMap<SocketAddr, Peer>,
+}
+
+impl Mesh {
+    /// Returns the view of the node at `own`, which knows nobody.
+    pub fn new(options: MeshOptions, own: SocketAddr, zone: DataCentre) -> Self {
+        Mesh { options, own, zone, peers: HashMap::new() }
+    }
+
+    /// Notes the address of a node that was named by someone else, and returns whether it was new.
+    pub fn named(&mut self, now: Timestamp, addr: SocketAddr) -> bool {
+        if addr == self.own || self.peers.contains_key(&addr) {
+            return false;
+        }
+        self.peers.insert(addr, Peer { hello: None, heard: now, told: None });
+        true
+    }
+
+    /// Takes a node's message and returns whether it was silent, unknown or started anew before.
+    pub fn heard(&mut self, now: Timestamp, addr: SocketAddr, hello: Hello) -> bool {
+        if addr == self.own {
+            return false;
+        }
+        let fresh = self.is_heard(now, addr, hello.start);
+        let told = self.peers.get(&addr).and_then(|p| p.told);
+        self.peers.insert(addr, Peer { hello: Some(hello), heard: now, told });
+        !fresh
+    }
+
+    fn is_heard(&self, now: Timestamp, addr: SocketAddr, start: u64) -> bool {
+        let Some(peer) = self.peers.get(&addr) else { return false };
+        let known = peer.hello.as_ref().is_some_and(|h| h.start == start);
+        known && self.is_alive(now, peer)
+    }
+
+    fn is_alive(&self, now: Timestamp, peer: &Peer) -> bool {
+        let Some(hello) = &peer.hello else { return false };
+        now.since(peer.heard) <= self.interval(&hello.zone).times(self.options.missed)
+    }
+
+    fn interval(&self, zone: &DataCentre) -> Span {
+        if *zone == self.zone {
+            self.options.near
+        } else {
+            self.options.far
+        }
+    }
+
+    /// Returns the nodes that are heard, with what they last said.
+    pub fn alive(&self, now: Timestamp) -> impl Iterator<Item = (SocketAddr, &Hello)> {
+        let alive = self.peers.iter().filter(move |(_, p)| self.is_alive(now, p));
+        alive.filter_map(|(addr, p)| p.hello.as_ref().map(|h| (*addr, h)))
+    }
+
+    /// Returns all addresses that are known.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers.keys().copied().collect()
+    }
+
+    /// Returns the number of nodes in use, this one included.
+    pub fn size(&self, now: Timestamp) -> usize {
+        1 + self.alive(now).count()
+    }
+
+    /// Returns the nodes to which a message about this node is due, and counts it as sent.
+    pub fn due(&mut self, now: Timestamp, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        self.peers.retain(|_, p| now.since(p.heard) <= FORGET);
+        let (near, far) = (self.options.near, self.options.far);
+        let mut due: HashMap<Option<DataCentre>, Vec<SocketAddr>> = HashMap::new();
+        for (addr, peer) in &self.peers {
+            let zone = peer.hello.as_ref().map(|h| h.zone.clone());
+            let interval = if zone.as_ref() == Some(&self.zone) { near } else { far };
+            if peer.told.is_none_or(|told| now.since(told) >= interval) {
+                due.entry(zone).or_default().push(*addr);
+            }
+        }
+        let mut chosen = Vec::new();
+        for (zone, addrs) in due {
+            let is_near = zone.as_ref() == Some(&self.zone);
+            let fan = if is_near { self.options.fan_near } else { self.options.fan_far };
+            // Addresses that were never heard stand under no zone; they get the larger fan-out, as they may be near.
+            let fan = if zone.is_none() { self.options.fan_near } else { fan };
+            chosen.extend(addrs.into_iter().choose_multiple(rng, fan));
+        }
+        for addr in &chosen {
+            if let Some(peer) = self.peers.get_mut(addr) {
+                peer.told = Some(now);
+            }
+        }
+        chosen
+    }
+
+    /// Returns where a report goes: the nodes of the own data centre, and one node of each other that passes it on.
+    pub fn report_targets(&self, now: Timestamp, rng: &mut impl Rng) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let near = self.near(now, rng);
+        let mut zones: HashMap<&DataCentre, Vec<SocketAddr>> = HashMap::new();
+        for (addr, hello) in self.alive(now).filter(|(_, h)| h.zone != self.zone) {
+            zones.entry(&hello.zone).or_default().push(addr);
+        }
+        let relays = zones.into_values().filter_map(|addrs| addrs.into_iter().choose(rng)).collect();
+        (near, relays)
+    }
+
+    /// Returns the nodes of the own data centre that are heard, at most the fan-out.
+    pub fn near(&self, now: Timestamp, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let near = self.alive(now).filter(|(_, h)| h.zone == self.zone).map(|(addr, _)| addr);
+        near.choose_multiple(rng, self.options.fan_near)
+    }
+
+    /// Returns the entries that a caller in `zone` should use, at most `most`; `own` is this node's if it serves.
+    ///
+    /// Callers get entries of their own data centre, as answers between data centres are slower and paid for. With
+    /// fewer than two there, they get all, because one entry may be lost at any moment.
+    pub fn entries(
+        &self,
+        now: Timestamp,
+        zone: &str,
+        own: Option<SocketAddr>,
+        most: usize,
+    ) -> Vec<SocketAddr> {
+        let mut all: Vec<(bool, SocketAddr)> = self
+            .alive(now)
+            .filter(|(_, h)| h.state == NodeState::Ready)
+            .map(|(_, h)| (h.zone.as_str() == zone, h.entry))
+            .collect();
+        all.extend(own.map(|entry| (self.zone.as_str() == zone, entry)));
+        let near = all.iter().filter(|(is_near, _)| *is_near).count();
+        let mut entries: Vec<SocketAddr> = all
+            .into_iter()
+            .filter(|(is_near, _)| near < LEAST_NEAR || *is_near)
+            .map(|(_, entry)| entry)
+            .collect();
+        entries.sort_unstable();
+        entries.truncate(most);
+        entries
+    }
+
+    /// Returns a node that knows a newer configuration or newer registrations.
+    pub fn newer(&self, now: Timestamp, version: u64, servers: u64) -> Option<SocketAddr> {
+        let ahead = |h: &Hello| h.version > version || h.servers > servers;
+        let best = self.alive(now).filter(|(_, h)| ahead(h));
+        best.max_by_key(|(addr, h)| (h.version, h.servers, *addr)).map(|(addr, _)| addr)
+    }
+}
+
+/// The entries in a caller's data centre below which entries of all data centres are named.
+const LEAST_NEAR: usize = 2;
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod balancer;
+pub mod belief;
 pub mod burn;
 pub mod credits;
 pub mod detector;
@@ -9,8 +10,13 @@
 pub mod duties;
 pub mod ejections;
 pub mod evidence;
+pub mod feed;
 pub mod heartbeat;
+pub mod latency;
 pub mod life;
 pub mod membership;
+pub mod mesh;
+pub mod picker;
 pub mod readmission;
+pub mod roster;
 pub mod steward;
--- /dev/null
+++ b/crates/core/src/process/roster.rs
@@ -0,0 +1,498 @@
+//! The backend servers that registered themselves, and what is believed of each.
+
+use crate::{
+    ids::{DataCentre, ServiceName},
+    process::{
+        belief::{Belief, BeliefOptions, Signal},
+        latency::Latency,
+    },
+    time::{Span, Timestamp},
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// `ServerId` names one registration of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ServerId(pub Arc<str>);
+
+impl ServerId {
+    /// Returns the short form in which nodes name the server to each other.
+    pub fn tag(&self) -> u32 {
+        xxh3_64(self.0.as_bytes()) as u32
+    }
+
+    /// Returns the id as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// `EntryState` is what a server says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EntryState {
+    /// The server takes work.
+    Ready,
+    /// The server is leaving and takes no new work.
+    Draining,
+}
+
+/// `ServerEntry` is one registration, as the server wrote it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerEntry {
+    /// The id, which a request names so that no other server runs it.
+    pub id: ServerId,
+    /// Where the server listens.
+    pub addr: SocketAddr,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// The data centre it runs in.
+    pub zone: DataCentre,
+    /// The requests that it runs at once.
+    pub slots: u32,
+    /// What it says of itself.
+    pub state: EntryState,
+    /// How much longer it is slow after its start.
+    pub warmup: Span,
+    /// When it started, in Unix milliseconds; zero if it does not say.
+    pub started: u64,
+    /// The number of its report, which grows within one start.
+    pub report: u64,
+}
+
+/// `Change` is what a record changed in the roster.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A server that was not known, or that started anew, takes work.
+    Joined,
+    /// A known server takes work again.
+    Returned,
+    /// A server takes no new work because it says so.
+    Draining,
+    /// A server's registration ended.
+    Ended,
+    /// Something else of a known server changed.
+    Updated,
+    /// The record is older than what is known, or says nothing new.
+    Nothing,
+}
+
+/// `RosterOptions` holds the limits of the roster.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RosterOptions {
+    /// How the phases of servers are estimated.
+    pub belief: BeliefOptions,
+    /// How long a server whose registration ended around an outage of the store is still used. Servers that live
+    /// are registered again within about two seconds of the store's return.
+    pub lapse: Span,
+    /// How long another node's count of its requests in flight is believed.
+    pub report_age: Span,
+}
+
+impl Default for RosterOptions {
+    fn default() -> Self {
+        RosterOptions {
+            belief: BeliefOptions::default(),
+            lapse: Span::from_millis(1_600),
+            report_age: Span::from_millis(1_200),
+        }
+    }
+}
+
+/// How long the position of an ended registration is kept, so that a delayed older record does not revive it.
+const FORGET: Span = Span::from_secs(120);
+
+/// `Presence` is how far a server may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Presence {
+    Ready,
+    Draining,
+    Ended,
+}
+
+/// `Member` is one server with what is known and believed of it.
+#[derive(Clone, Debug)]
+pub struct Member {
+    entry: ServerEntry,
+    position: u64,
+    presence: Presence,
+    since: Timestamp,
+    warm: Timestamp,
+    shared: Belief,
+    path: Belief,
+    in_flight: u32,
+    others: BTreeMap<u64, (u32, Timestamp)>,
+    counts: Counts,
+}
+
+/// `Counts` are the signals of one server since the last report to other nodes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Good answers.
+    pub good: u8,
+    /// Server errors.
+    pub errors: u8,
+    /// Answers that were lost or never came, and connections that could not be opened.
+    pub lost: u8,
+    /// Answers that take too long.
+    pub slow: u8,
+}
+
+impl Counts {
+    fn add(&mut self, signal: Signal) {
+        let field = match signal {
+            Signal::Success => &mut self.good,
+            Signal::Error => &mut self.errors,
+            Signal::Lost | Signal::Unreachable => &mut self.lost,
+            Signal::Slow => &mut self.slow,
+        };
+        *field = field.saturating_add(1);
+    }
+
+    /// Returns the signals with their numbers.
+    pub fn signals(self) -> [(Signal, u8); 4] {
+        [
+            (Signal::Success, self.good),
+            (Signal::Error, self.errors),
+            (Signal::Lost, self.lost),
+            (Signal::Slow, self.slow),
+        ]
+    }
+}
+
+/// `ServerReport` is what one node tells the others of its use of one server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerReport {
+    /// The server, see [`ServerId::tag`].
+    pub tag: u32,
+    /// What the node saw since its last report.
+    pub counts: Counts,
+    /// The node's requests in flight there.
+    pub in_flight: u32,
+}
+
+/// The weight of a signal that another node saw and that its own path may have caused. Two such signals from
+/// different nodes together count about as much as one seen here.
+const FOREIGN_PATH_SHARE: f64 = 0.5;
+
+impl Member {
+    /// Returns what the server wrote.
+    pub fn entry(&self) -> &ServerEntry {
+        &self.entry
+    }
+
+    /// Returns this node's requests in flight there.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the known requests in flight there, of all nodes.
+    pub fn load(&self, options: &RosterOptions, now: Timestamp) -> u32 {
+        let fresh = |at: Timestamp| now.since(at) <= options.report_age;
+        let others = self.others.values().filter(|(_, at)| fresh(*at)).map(|(count, _)| count);
+        self.in_flight + others.sum::<u32>()
+    }
+
+    /// Returns the probability that a request there fails, by the server's phase or on the path to it.
+    pub fn failure(&self, options: &BeliefOptions, now: Timestamp) -> f64 {
+        let shared = self.shared.failing(options, now);
+        let path = self.path.failing(options, now);
+        options.fail_failing * shared.max(path)
+    }
+
+    /// Returns the share of its speed that a server which has just started has, 0.5 or 1.
+    pub fn speed(&self, now: Timestamp) -> f64 {
+        if now < self.warm {
+            0.5
+        } else {
+            1.0
+        }
+    }
+
+    /// Returns the age of the newest signal.
+    pub fn age(&self, now: Timestamp) -> Span {
+        self.shared.age(now)
+    }
+}
+
+/// `Roster` holds all registered servers of all services.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    options: RosterOptions,
+    members: HashMap<ServerId, Member>,
+    by_service: HashMap<ServiceName, Vec<ServerId>>,
+    by_tag: HashMap<u32, ServerId>,
+    latencies: HashMap<ServiceName, Latency>,
+    touched: Vec<ServerId>,
+    store_away: Option<Timestamp>,
+}
+
+impl Roster {
+    /// Returns a roster without servers.
+    pub fn new(options: RosterOptions) -> Self {
+        Roster {
+            options,
+            members: HashMap::new(),
+            by_service: HashMap::new(),
+            by_tag: HashMap::new(),
+            latencies: HashMap::new(),
+            touched: Vec::new(),
+            store_away: None,
+        }
+    }
+
+    /// Returns the options.
+    pub fn options(&self) -> &RosterOptions {
+        &self.options
+    }
+
+    /// Returns a server that is known.
+    pub fn member(&self, id: &ServerId) -> Option<&Member> {
+        self.members.get(id)
+    }
+
+    /// Returns the entries of all servers that are registered, with their positions.
+    pub fn entries(&self) -> Vec<(ServerEntry, u64)> {
+        let registered = self.members.values().filter(|m| m.presence != Presence::Ended);
+        registered.map(|m| (m.entry.clone(), m.position)).collect()
+    }
+
+    /// Notes that the store did not answer at `now`, so registrations that end about now may only have lapsed.
+    pub fn store_away(&mut self, now: Timestamp) {
+        self.store_away = Some(now);
+    }
+
+    /// Takes the record at `position` for the server `id`; none ends its registration.
+    ///
+    /// A record of an earlier start, or an earlier report of the same start, changes nothing: servers that drain
+    /// would otherwise come back by a delayed report.
+    pub fn record(
+        &mut self,
+        now: Timestamp,
+        id: &ServerId,
+        position: u64,
+        entry: Option<ServerEntry>,
+    ) -> Change {
+        let Some(entry) = entry else { return self.end(now, id, position) };
+        let Some(member) = self.members.get_mut(id) else {
+            self.insert(now, position, entry);
+            return Change::Joined;
+        };
+        let old = &member.entry;
+        if position <= member.position || entry.started < old.started {
+            return Change::Nothing;
+        }
+        let reborn = entry.started > old.started;
+        if !reborn && entry.report < old.report {
+            member.position = position;
+            return Change::Nothing;
+        }
+        if reborn || entry.addr != old.addr || entry.service != old.service {
+            self.remove(id);
+            self.insert(now, position, entry);
+            return Change::Joined;
+        }
+        let before = member.presence;
+        let same = before != Presence::Ended && entry.state == old.state;
+        member.position = position;
+        member.warm = now + entry.warmup;
+        member.presence = presence(entry.state);
+        if member.presence != before {
+            member.since = now;
+        }
+        member.entry = entry;
+        match (same, member.presence) {
+            (true, _) => Change::Updated,
+            (false, Presence::Draining) => Change::Draining,
+            (false, _) => Change::Returned,
+        }
+    }
+
+    /// Takes the newest records of all servers up to `end`: known servers that are missing have ended.
+    pub fn snapshot(
+        &mut self,
+        now: Timestamp,
+        end: u64,
+        records: Vec<(ServerEntry, u64)>,
+    ) -> Vec<(ServerId, Change)> {
+        let listed: std::collections::HashSet<ServerId> =
+            records.iter().map(|(entry, _)| entry.id.clone()).collect();
+        let missing: Vec<ServerId> = self
+            .members
+            .iter()
+            .filter(|(id, m)| {
+                m.presence != Presence::Ended && m.position < end && !listed.contains(*id)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        let mut changes = Vec::new();
+        for id in missing {
+            let change = self.end(now, &id, end.saturating_sub(1));
+            changes.push((id, change));
+        }
+        for (entry, position) in records {
+            let id = entry.id.clone();
+            let change = self.record(now, &id, position, Some(entry));
+            changes.push((id, change));
+        }
+        changes.retain(|(_, change)| *change != Change::Nothing);
+        changes
+    }
+
+    fn end(&mut self, now: Timestamp, id: &ServerId, position: u64) -> Change {
+        let Some(member) = self.members.get_mut(id) else { return Change::Nothing };
+        if position < member.position {
+            return Change::Nothing;
+        }
+        member.position = position;
+        if member.presence == Presence::Ended {
+            return Change::Nothing;
+        }
+        member.presence = Presence::Ended;
+        member.since = now;
+        Change::Ended
+    }
+
+    fn insert(&mut self, now: Timestamp, position: u64, entry: ServerEntry) {
+        let id = entry.id.clone();
+        self.by_tag.insert(id.tag(), id.clone());
+        self.by_service.entry(entry.service.clone()).or_default().push(id.clone());
+        let member = Member {
+            position,
+            presence: presence(entry.state),
+            since: now,
+            warm: now + entry.warmup,
+            shared: Belief::new(now),
+            path: Belief::new(now),
+            in_flight: 0,
+            others: BTreeMap::new(),
+            counts: Counts::default(),
+            entry,
+        };
+        self.members.insert(id, member);
+    }
+
+    fn remove(&mut self, id: &ServerId) {
+        let Some(member) = self.members.remove(id) else { return };
+        self.by_tag.remove(&id.tag());
+        if let Some(ids) = self.by_service.get_mut(&member.entry.service) {
+            ids.retain(|other| other != id);
+            if ids.is_empty() {
+                self.by_service.remove(&member.entry.service);
+            }
+        }
+    }
+
+    /// Forgets servers whose registration ended long ago.
+    pub fn tick(&mut self, now: Timestamp) {
+        let old: Vec<ServerId> = self
+            .members
+            .iter()
+            .filter(|(_, m)| m.presence == Presence::Ended && now.since(m.since) > FORGET)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in old {
+            self.remove(&id);
+        }
+    }
+
+    /// Returns the servers of a service that may get new work.
+    ///
+    /// Servers whose registration ended around an outage of the store stay in use for a short time, as do those of a
+    /// service that has no other: their registration may only have lapsed.
+    pub fn usable(&self, now: Timestamp, service: &ServiceName) -> Vec<&Member> {
+        let ids = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
+        let members = || ids.iter().filter_map(|id| self.members.get(id));
+        let recent = |m: &Member| now.since(m.since) <= self.options.lapse;
+        let lapsed = |m: &Member| {
+            m.presence == Presence::Ended
+                && recent(m)
+                && m.entry.state == EntryState::Ready
+                && self.store_away.is_some_and(|away| m.since.since(away) <= self.options.lapse)
+        };
+        let first: Vec<&Member> =
+            members().filter(|m| m.presence == Presence::Ready || lapsed(m)).collect();
+        if !first.is_empty() {
+            return first;
+        }
+        members().filter(|m| recent(m)).collect()
+    }
+
+    /// Counts a request that is sent to a server.
+    pub fn sent(&mut self, id: &ServerId) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.in_flight += 1;
+            touch(&mut self.touched, id);
+        }
+    }
+
+    /// Counts the end of a request at a server.
+    pub fn ended(&mut self, id: &ServerId) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.in_flight = member.in_flight.saturating_sub(1);
+            touch(&mut self.touched, id);
+        }
+    }
+
+    /// Takes what this node saw of a server, and how long a good answer took.
+    pub fn observe(&mut self, now: Timestamp, id: &ServerId, signal: Signal, took: Option<Span>) {
+        let Some(member) = self.members.get_mut(id) else { return };
+        let options = &self.options.belief;
+        member.shared.observe(options, now, signal, 1.0);
+        member.path.observe(options, now, signal, 1.0);
+        member.counts.add(signal);
+        touch(&mut self.touched, id);
+        if let Some(took) = took {
+            self.latencies.entry(member.entry.service.clone()).or_default().record(took);
+        }
+    }
+
+    /// Takes what the node `from` saw of a server.
+    pub fn hear(&mut self, now: Timestamp, from: u64, report: &ServerReport) {
+        let Some(id) = self.by_tag.get(&report.tag) else { return };
+        let Some(member) = self.members.get_mut(id) else { return };
+        member.others.insert(from, (report.in_flight, now));
+        let age = self.options.report_age;
+        member.others.retain(|_, (count, at)| *count > 0 && now.since(*at) <= age);
+        for (signal, count) in report.counts.signals() {
+            let share = if signal.is_path() { FOREIGN_PATH_SHARE } else { 1.0 };
+            for _ in 0..count {
+                member.shared.observe(&self.options.belief, now, signal, share);
+            }
+        }
+    }
+
+    /// Takes the reports on all servers that were used since the last call.
+    pub fn take_reports(&mut self) -> Vec<ServerReport> {
+        let mut reports = Vec::with_capacity(self.touched.len());
+        for id in std::mem::take(&mut self.touched) {
+            let Some(member) = self.members.get_mut(&id) else { continue };
+            let counts = std::mem::take(&mut member.counts);
+            reports.push(ServerReport { tag: id.tag(), counts, in_flight: member.in_flight });
+        }
+        reports
+    }
+
+    /// Returns the time within which `share` of the good answers of a service came.
+    pub fn usual(&self, service: &ServiceName, share: f64) -> Option<Span> {
+        self.latencies.get(service)?.quantile(share)
+    }
+}
+
+fn presence(state: EntryState) -> Presence {
+    match state {
+        EntryState::Ready => Presence::Ready,
+        EntryState::Draining => Presence::Draining,
+    }
+}
+
+fn touch(touched: &mut Vec<ServerId>, id: &ServerId) {
+    if !touched.contains(id) {
+        touched.push(id.clone());
+    }
+}
--- a/crates/core/src/request/retry.rs
+++ b/crates/core/src/request/retry.rs
@@ -166,6 +166,11 @@
         RetryBudget { options, intervals: VecDeque::new(), requests: 0, resends: 0 }
     }
 
+    /// Replaces the number of resends that the window always allows.
+    pub fn set_floor(&mut self, floor: u64) {
+        self.options.floor = floor;
+    }
+
     /// Counts the first send of a request.
     pub fn request(&mut self, now: Timestamp) {
         self.interval(now).requests += 1;
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -1,9 +1,12 @@
 //! Monotonic time in microseconds.
 
+use serde::{Deserialize, Serialize};
 use std::ops::{Add, Sub};
 
 /// `Span` is a length of time in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Span(u64);
 
 impl Span {
--- /dev/null
+++ b/crates/gateway/src/accept.rs
@@ -0,0 +1,225 @@
+//! Callers' connections: limits on heads and idle times, and their end at a planned stop.
+
+use crate::{
+    clock::duration,
+    error::{Error, Result},
+    request,
+    shared::{closing, Shared},
+};
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use redwingtrestle_core::time::{Span, Timestamp};
+use std::{
+    convert::Infallible,
+    io,
+    pin::Pin,
+    sync::{
+        atomic::{AtomicU64, AtomicU8, Ordering},
+        Arc,
+    },
+    task::{Context, Poll},
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::{TcpListener, TcpSocket, TcpStream},
+};
+
+/// The connections that may wait to be accepted. A full queue delays a caller by seconds.
+const BACKLOG: u32 = 1_024;
+
+/// The least size of the buffer in which a head is read.
+const LEAST_HEAD: usize = 8 * 1024;
+
+/// The pause after a connection could not be accepted, usually for want of descriptors.
+const ACCEPT_PAUSE: Span = Span::from_millis(50);
+
+/// What a connection is doing.
+const IDLE: u8 = 0;
+const HEAD: u8 = 1;
+const REQUEST: u8 = 2;
+
+/// `Progress` is what one connection is doing, and since when.
+#[derive(Debug)]
+struct Progress {
+    state: AtomicU8,
+    since: AtomicU64,
+    shared: Arc<Shared>,
+}
+
+impl Progress {
+    fn set(&self, state: u8) {
+        self.since.store(self.shared.now().as_micros(), Ordering::SeqCst);
+        self.state.store(state, Ordering::SeqCst);
+    }
+
+    /// Returns whether the connection is over its time, and when to look again if it is not.
+    fn check(&self, head: Span, idle: Span) -> Check {
+        let now = self.shared.now();
+        let since = Timestamp::from_micros(self.since.load(Ordering::SeqCst));
+        let passed = now.since(since);
+        match self.state.load(Ordering::SeqCst) {
+            IDLE if passed >= idle => Check::Idle,
+            HEAD if passed >= head => Check::SlowHead,
+            IDLE => Check::Later((idle - passed).min(idle)),
+            HEAD => Check::Later(head - passed),
+            _ => Check::Later(head),
+        }
+    }
+}
+
+enum Check {
+    Later(Span),
+    Idle,
+    SlowHead,
+}
+
+/// `Busy` marks a connection as serving a request until the answer has been handed over.
+#[derive(Debug)]
+pub struct Busy(Arc<Progress>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.set(IDLE);
+    }
+}
+
+/// `Watched` is a caller's socket that notes when the head of a request begins to arrive.
+#[derive(Debug)]
+struct Watched {
+    socket: TcpStream,
+    progress: Arc<Progress>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.socket).poll_read(context, buffer);
+        let is_first = self.progress.state.load(Ordering::SeqCst) == IDLE;
+        if is_first && buffer.filled().len() > before {
+            self.progress.set(HEAD);
+        }
+        result
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+}
+
+/// Binds the address for callers.
+pub fn bind(shared: &Shared) -> Result<TcpListener> {
+    let addr = shared.settings.entry;
+    let listen = |e| Error::listen("entry", addr, e);
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let socket = socket.map_err(listen)?;
+    socket.set_reuseaddr(true).map_err(listen)?;
+    socket.bind(addr).map_err(listen)?;
+    socket.listen(BACKLOG).map_err(listen)
+}
+
+/// Accepts connections until the process closes its entry.
+pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    let mut phase = shared.phase.subscribe();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((socket, _)) => {
+                    tokio::spawn(connection(shared.clone(), socket));
+                }
+                Err(e) => {
+                    log::warn!(target: "entry", "a connection cannot be accepted: {e}");
+                    tokio::time::sleep(duration(ACCEPT_PAUSE)).await;
+                }
+            },
+            () = closing(&mut phase) => return,
+        }
+    }
+}
+
+async fn connection(shared: Arc<Shared>, socket: TcpStream) {
+    // Small answers must not wait for the acknowledgement of earlier segments.
+    if let Err(e) = socket.set_nodelay(true) {
+        log::debug!(target: "entry", "a connection was lost at once: {e}");
+        return;
+    }
+    let progress = Arc::new(Progress {
+        state: AtomicU8::new(IDLE),
+        since: AtomicU64::new(shared.now().as_micros()),
+        shared: shared.clone(),
+    });
+    let limits = || shared.catalog.load().as_ref().map(|c| c.limits()).unwrap_or_default();
+    let (of_connection, of_requests) = (progress.clone(), shared.clone());
+    let service = service_fn(move |incoming| {
+        of_connection.set(REQUEST);
+        let (shared, busy) = (of_requests.clone(), Busy(of_connection.clone()));
+        async move { Ok::<_, Infallible>(request::serve(shared, incoming, busy).await) }
+    });
+    let io = TokioIo::new(Watched { socket, progress: progress.clone() });
+    let head = limits().head;
+    let connection = http1::Builder::new()
+        .max_buf_size(head.max(LEAST_HEAD))
+        .max_header_size(head)
+        .serve_connection(io, service);
+    tokio::pin!(connection);
+    let mut phase = shared.phase.subscribe();
+    let mut wait = limits().head_time;
+    let mut is_closing = false;
+    loop {
+        tokio::select! {
+            result = connection.as_mut() => {
+                if let Err(e) = result {
+                    log::debug!(target: "entry", "a connection ended: {e}");
+                }
+                return;
+            }
+            () = tokio::time::sleep(duration(wait)), if !is_closing => {
+                let limits = limits();
+                match progress.check(limits.head_time, limits.idle_time) {
+                    Check::Later(again) => wait = again.min(limits.head_time.times(2)),
+                    Check::SlowHead => {
+                        log::info!(target: "entry", "the head of a request took too long");
+                        return;
+                    }
+                    Check::Idle => {
+                        is_closing = true;
+                        connection.as_mut().graceful_shutdown();
+                    }
+                }
+            }
+            () = closing(&mut phase), if !is_closing => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/calls.rs
@@ -0,0 +1,83 @@
+//! The gateway's own HTTP calls: the directory of entries, readiness and metrics.
+
+use crate::{
+    error::{Error, Result},
+    shared::Shared,
+    telemetry,
+};
+use redwingtrestle_core::process::mesh::NodeState;
+use rocket::{get, http::Status, response::content::RawJson, routes, Build, Rocket, State};
+use serde::Serialize;
+use std::{net::SocketAddr, sync::Arc};
+
+/// The most entries of one answer.
+const MAX_ENTRIES: usize = 64;
+
+/// `EntriesDoc` tells a caller which entries to use and how long to keep the answer.
+#[derive(Debug, Serialize)]
+struct EntriesDoc {
+    entries: Vec<String>,
+    ttl_s: u64,
+}
+
+#[get("/v1/entries?<zone>")]
+fn entries(zone: Option<&str>, shared: &State<Arc<Shared>>) -> (Status, RawJson<String>) {
+    let own = (shared.state() == NodeState::Ready).then_some(shared.settings.entry);
+    let zone = zone.unwrap_or(shared.zone.as_str());
+    let entries = shared.fleet().mesh.entries(shared.now(), zone, own, MAX_ENTRIES);
+    if entries.is_empty() {
+        log::info!(target: "directory", zone; "no entry is ready");
+        return (Status::ServiceUnavailable, RawJson("{}".into()));
+    }
+    let doc = EntriesDoc {
+        entries: entries.iter().map(ToString::to_string).collect(),
+        ttl_s: shared.settings.entries_ttl_s,
+    };
+    (Status::Ok, RawJson(serde_json::to_string(&doc).unwrap_or_default()))
+}
+
+#[get("/v1/health")]
+fn health(shared: &State<Arc<Shared>>) -> Status {
+    match shared.state() {
+        NodeState::Ready => Status::Ok,
+        NodeState::Starting | NodeState::Stopping => Status::ServiceUnavailable,
+    }
+}
+
+#[get("/v1/metrics")]
+fn numbers(shared: &State<Arc<Shared>>) -> String {
+    metrics::gauge!("redwing_gateway_open_requests").set(shared.open_count() as f64);
+    telemetry::render()
+}
+
+/// Makes the server of the gateway's own calls at one address.
+fn rocket(addr: SocketAddr, shared: Arc<Shared>) -> Rocket<Build> {
+    let figment = rocket::Config::figment()
+        .merge(("address", addr.ip()))
+        .merge(("port", addr.port()))
+        .merge(("log_level", "off"))
+        .merge(("cli_colors", false))
+        .merge(("ident", false))
+        .merge(("shutdown.ctrlc", false))
+        .merge(("shutdown.signals", Vec::<String>::new()));
+    rocket::custom(figment).manage(shared).mount("/", routes![entries, health, numbers])
+}
+
+/// Serves the calls at all their addresses until the process ends.
+pub async fn serve(shared: Arc<Shared>) -> Result<()> {
+    let settings = &shared.settings;
+    let mut addrs = vec![settings.directory, settings.health, settings.metrics];
+    addrs.sort_unstable();
+    addrs.dedup();
+    for addr in addrs {
+        let server = rocket(addr, shared.clone()).ignite().await;
+        let server = server.map_err(|e| Error::start("calls", format!("{addr}: {e}")))?;
+        tokio::spawn(async move {
+            match server.launch().await {
+                Ok(_) => log::info!(target: "calls", addr:% = addr; "the server of own calls ended"),
+                Err(e) => log::error!(target: "calls", addr:% = addr; "the server of own calls failed: {e}"),
+            }
+        });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/clock.rs
@@ -0,0 +1,47 @@
+//! The clock of the gateway, which goes on while the machine is suspended.
+
+use redwingtrestle_core::time::{Span, Timestamp};
+use rustix::time::{clock_gettime, ClockId};
+use std::time::{Duration, Instant};
+
+/// `Clock` counts from the boot of the machine.
+///
+/// The ordinary monotonic clock stands still while a machine is suspended. Deadlines of callers do not, and what was
+/// believed before is older than that clock says.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Duration,
+    steady: Instant,
+}
+
+/// The time before the start that the clock can tell, so that subtracting a window never saturates.
+const BEFORE_START: Duration = Duration::from_secs(3600);
+
+impl Clock {
+    /// Starts the clock.
+    pub fn start() -> Self {
+        Clock { origin: since_boot(), steady: Instant::now() }
+    }
+
+    /// Returns the current time.
+    pub fn now(&self) -> Timestamp {
+        let passed = since_boot().saturating_sub(self.origin) + BEFORE_START;
+        Timestamp::from_micros(passed.as_micros() as u64)
+    }
+
+    /// Returns how long the machine was suspended since the clock was started.
+    pub fn suspended(&self) -> Span {
+        let all = since_boot().saturating_sub(self.origin);
+        Span::from_micros(all.saturating_sub(self.steady.elapsed()).as_micros() as u64)
+    }
+}
+
+fn since_boot() -> Duration {
+    let now = clock_gettime(ClockId::Boottime);
+    Duration::new(now.tv_sec.max(0) as u64, now.tv_nsec.clamp(0, 999_999_999) as u32)
+}
+
+/// Returns a span as the standard library's type.
+pub fn duration(span: Span) -> Duration {
+    Duration::from_micros(span.as_micros())
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,164 @@
+//! Follows the streams of the platform's store.
+
+use crate::{
+    clock::duration,
+    shared::{Fleet, Shared},
+    store::{Batch, Record, Store, StoreError, Stream},
+};
+use redwingtrestle_core::{
+    process::{
+        feed::{Feed, Step},
+        roster::ServerEntry,
+    },
+    time::Span,
+};
+use std::{sync::Arc, time::Duration};
+
+/// How long a watch waits for a record. Each call is priced, and a silent connection is found by its own means.
+const WATCH: Duration = Duration::from_secs(25);
+
+/// How often a node that hears no other one looks for nodes in the store.
+const LONELY_CHECK: Duration = Duration::from_secs(3);
+
+/// How often the nodes in the store are read otherwise.
+const NODES_CHECK: Duration = Duration::from_secs(60);
+
+/// Returns the feed of a stream.
+fn feed(fleet: &mut Fleet, stream: Stream) -> &mut Feed {
+    match stream {
+        Stream::Configuration => &mut fleet.configuration,
+        Stream::Servers | Stream::Nodes => &mut fleet.servers,
+    }
+}
+
+/// Follows `stream` until the process ends.
+pub async fn follow<S: Store>(shared: Arc<Shared>, store: S, stream: Stream) {
+    let name: &'static str = stream.into();
+    loop {
+        let step = feed(&mut shared.fleet(), stream).step();
+        let result = tokio::select! {
+            result = call(&store, stream, step) => result,
+            () = shared.refresh.notified() => {
+                feed(&mut shared.fleet(), stream).expired();
+                continue;
+            }
+        };
+        let label = result.as_ref().map_or("failed", |_| "answered");
+        metrics::counter!("redwing_store_calls_total", "stream" => name, "result" => label)
+            .increment(1);
+        let pause = match result {
+            Ok(batch) => take(&shared, stream, step, batch),
+            Err(e) => fail(&shared, stream, step, &e),
+        };
+        if let Some(pause) = pause {
+            tokio::time::sleep(duration(pause)).await;
+        }
+    }
+}
+
+async fn call<S: Store>(store: &S, stream: Stream, step: Step) -> Result<Batch, StoreError> {
+    match step {
+        Step::Newest => store.newest(stream).await,
+        Step::Watch(from) => store.watch(stream, from, WATCH).await,
+    }
+}
+
+/// Takes an answer, and returns how long to wait before the next call.
+fn take(shared: &Shared, stream: Stream, step: Step, batch: Batch) -> Option<Span> {
+    let end = batch.end;
+    let was_away = feed(&mut shared.fleet(), stream).is_away();
+    if step == Step::Newest {
+        if !feed(&mut shared.fleet(), stream).snapshot(end) {
+            log::warn!(target: "store", stream:% = stream, end; "the snapshot is older than what is known");
+            let mut fleet = shared.fleet();
+            let Fleet { servers, configuration, rng, .. } = &mut *fleet;
+            return Some(match stream {
+                Stream::Configuration => configuration.failed(rng),
+                Stream::Servers | Stream::Nodes => servers.failed(rng),
+            });
+        }
+    } else {
+        feed(&mut shared.fleet(), stream).changes(end);
+    }
+    if was_away {
+        log::info!(target: "store", stream:% = stream, end; "the store answers again");
+    }
+    let source = if step == Step::Newest { "store snapshot" } else { "store" };
+    let mut entries: Vec<(ServerEntry, u64)> = Vec::new();
+    for (position, record) in batch.records {
+        match record {
+            Record::Catalog(doc) => {
+                shared.install(&doc, source);
+            }
+            Record::Server(_, Some(entry)) if step == Step::Newest => entries.push((*entry, position)),
+            Record::Server(id, entry) => {
+                shared.register(&id, position, entry.map(|e| *e), source);
+            }
+            Record::Node(_) | Record::Unreadable => {}
+        }
+    }
+    if stream == Stream::Servers && step == Step::Newest {
+        shared.register_all(end, entries, source);
+    }
+    None
+}
+
+/// Takes a failed call, and returns how long to wait before the next one.
+fn fail(shared: &Shared, stream: Stream, step: Step, error: &StoreError) -> Option<Span> {
+    let now = shared.now();
+    let mut fleet = shared.fleet();
+    if let StoreError::Expired { first } = error {
+        feed(&mut fleet, stream).expired();
+        drop(fleet);
+        log::warn!(target: "store", stream:% = stream, first; "the records are gone, reading a snapshot");
+        return None;
+    }
+    fleet.roster.store_away(now);
+    let Fleet { servers, configuration, rng, .. } = &mut *fleet;
+    let feed = match stream {
+        Stream::Configuration => configuration,
+        Stream::Servers | Stream::Nodes => servers,
+    };
+    let is_first = !feed.is_away();
+    let pause = feed.failed(rng);
+    // A connection that was cut may have lost records, and a store that comes back may have dropped its history.
+    let position = feed.position();
+    drop(fleet);
+    if is_first {
+        log::warn!(target: "store", stream:% = stream, step:? = step, position:? = position,
+            pause_ms = pause.as_millis(); "the store does not answer: {error}");
+    } else {
+        log::debug!(target: "store", stream:% = stream; "the store still does not answer: {error}");
+    }
+    Some(pause)
+}
+
+/// Announces this node and learns of others until the process ends.
+pub async fn nodes<S: Store>(shared: Arc<Shared>, store: S) {
+    let mut announced = false;
+    loop {
+        if !announced {
+            match store.announce(shared.settings.peer).await {
+                Ok(()) => announced = true,
+                Err(e) => log::warn!(target: "store", stream:% = Stream::Nodes; "cannot announce this node: {e}"),
+            }
+        }
+        match store.newest(Stream::Nodes).await {
+            Ok(batch) => {
+                let now = shared.now();
+                let mut fleet = shared.fleet();
+                for (_, record) in batch.records {
+                    if let Record::Node(addr) = record {
+                        fleet.mesh.named(now, addr);
+                    }
+                }
+            }
+            Err(e) => {
+                log::warn!(target: "store", stream:% = Stream::Nodes; "cannot read the nodes: {e}");
+            }
+        }
+        let is_lonely = shared.fleet().mesh.size(shared.now()) == 1;
+        let pause = if is_lonely || !announced { LONELY_CHECK } else { NODES_CHECK };
+        tokio::time::sleep(pause).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,110 @@
+//! The process: its threads, its signals, and what each of them runs.
+
+use crate::{
+    accept, calls,
+    clock::duration,
+    dialect::Dialect,
+    error::{Error, Result},
+    exchange, follow, logs,
+    peers::Peers,
+    settings::Settings,
+    shared::Shared,
+    stop,
+    store::{Store, Stream},
+    telemetry,
+};
+use redwingtrestle_core::time::Span;
+use std::{path::PathBuf, sync::Arc, thread};
+use tokio::{
+    net::UdpSocket,
+    runtime::{Builder, Runtime},
+    signal::unix::{signal, SignalKind},
+};
+
+/// How often the settings file is looked at. It may change without a signal.
+const SETTINGS_CHECK: Span = Span::from_secs(2);
+
+/// Runs a gateway until it is told to stop.
+///
+/// `path` is the settings file, which is read again at SIGHUP and when its text changes.
+pub fn run<S: Store>(settings: Settings, path: PathBuf, store: S, dialect: Dialect) -> Result<()> {
+    telemetry::handle();
+    let shared = Arc::new(Shared::new(settings, dialect));
+    log::info!(target: "process", node = shared.settings.node.as_str(), start = shared.start,
+        entry:% = shared.settings.entry, peer:% = shared.settings.peer,
+        store:% = shared.settings.store; "starting");
+    let entry = runtime()?;
+    let listener = {
+        let _entered = entry.enter();
+        accept::bind(&shared)?
+    };
+    let control = runtime()?;
+    control.block_on(start_control(shared.clone(), store))?;
+    thread::Builder::new()
+        .name("control".into())
+        .spawn(move || control.block_on(std::future::pending::<()>()))
+        .map_err(|e| Error::start("control", e))?;
+    let result = entry.block_on(async {
+        tokio::spawn(accept::serve(shared.clone(), listener));
+        wait(&shared, path).await?;
+        stop::stop(&shared).await;
+        Ok(())
+    });
+    logs::finish();
+    result
+}
+
+fn runtime() -> Result<Runtime> {
+    Builder::new_current_thread().enable_all().build().map_err(|e| Error::start("runtime", e))
+}
+
+/// Starts the duties of the control thread: the store, other nodes, and the gateway's own calls.
+async fn start_control<S: Store>(shared: Arc<Shared>, store: S) -> Result<()> {
+    let peer = shared.settings.peer;
+    let socket = UdpSocket::bind(peer).await.map_err(|e| Error::listen("peers", peer, e))?;
+    let exchange = exchange::serve(shared.clone()).await?;
+    tokio::spawn(exchange.stopped());
+    calls::serve(shared.clone()).await?;
+    for stream in [Stream::Configuration, Stream::Servers] {
+        tokio::spawn(follow::follow(shared.clone(), store.clone(), stream));
+    }
+    tokio::spawn(follow::nodes(shared.clone(), store));
+    tokio::spawn(Peers::new(shared, socket).run());
+    Ok(())
+}
+
+/// Waits for SIGTERM or SIGINT, and notices changed settings meanwhile.
+async fn wait(shared: &Shared, path: PathBuf) -> Result<()> {
+    let listen = |kind| signal(kind).map_err(|e| Error::start("signals", e));
+    let mut terminate = listen(SignalKind::terminate())?;
+    let mut interrupt = listen(SignalKind::interrupt())?;
+    let mut hang_up = listen(SignalKind::hangup())?;
+    let mut check = tokio::time::interval(duration(SETTINGS_CHECK));
+    let mut known = shared.settings.clone();
+    loop {
+        let cause = tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hang_up.recv() => "SIGHUP",
+            _ = check.tick() => "changed file",
+        };
+        reload(&path, cause, &mut known);
+    }
+}
+
+/// Reads the settings again and says what would change; a changed value is in force from the next start on.
+fn reload(path: &std::path::Path, cause: &str, known: &mut Settings) {
+    match Settings::read(path) {
+        Ok(settings) if settings == *known && cause != "SIGHUP" => {}
+        Ok(settings) => {
+            let is_changed = settings != *known;
+            log::info!(target: "process", cause, is_changed; "settings read again");
+            *known = settings;
+        }
+        Err(faults) => {
+            for fault in faults {
+                log::error!(target: "process", cause; "the changed settings are not used: {fault}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/logs.rs
@@ -0,0 +1,134 @@
+//! Structured logs, one JSON object a line on standard output, written by a thread of their own.
+
+use crossbeam_queue::ArrayQueue;
+use logforth::{
+    append::Append, filter::rustlog::RustLogFilterBuilder, layout::JsonLayout, record::Record,
+    Diagnostic, Error, Layout,
+};
+use std::{
+    io::Write,
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc, OnceLock,
+    },
+    thread::{self, Thread},
+    time::{Duration, Instant},
+};
+
+/// The filter used when the settings name none. The libraries' lines say less than the gateway's own.
+pub const DEFAULT_FILTER: &str = "info,rocket=off,hyper=warn,reqwest=warn,jsonrpsee=off";
+
+/// The lines that may wait for the writer. More are dropped, so that a slow reader never holds up a request.
+const WAITING: usize = 4_096;
+
+/// The most lines a second. A flood of requests would otherwise spend its processor time on logs.
+const LINES_PER_S: u64 = 500;
+
+/// How long the writer sleeps when nothing is waiting, at most.
+const IDLE: Duration = Duration::from_secs(5);
+
+/// `Queue` holds formatted lines until the writer takes them.
+#[derive(Debug)]
+struct Queue {
+    lines: ArrayQueue<Vec<u8>>,
+    dropped: AtomicU64,
+    second: AtomicU64,
+    written: AtomicU64,
+    started: Instant,
+    writer: OnceLock<Thread>,
+}
+
+impl Queue {
+    fn push(&self, line: Vec<u8>) {
+        let second = self.started.elapsed().as_secs();
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.written.store(0, Ordering::Relaxed);
+        }
+        let is_over = self.written.fetch_add(1, Ordering::Relaxed) >= LINES_PER_S;
+        if is_over || self.lines.push(line).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            metrics::counter!("redwing_log_lines_dropped_total").increment(1);
+            return;
+        }
+        if let Some(writer) = self.writer.get() {
+            writer.unpark();
+        }
+    }
+
+    /// Writes all waiting lines and returns whether standard output still takes them.
+    fn write(&self) -> bool {
+        let mut bytes = Vec::new();
+        while let Some(line) = self.lines.pop() {
+            bytes.extend_from_slice(&line);
+        }
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let line = format!("{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":{dropped}}}\n");
+            bytes.extend_from_slice(line.as_bytes());
+        }
+        let mut out = std::io::stdout().lock();
+        bytes.is_empty() || out.write_all(&bytes).and_then(|()| out.flush()).is_ok()
+    }
+}
+
+/// `QueueAppend` formats records and hands them to the writer.
+#[derive(Debug)]
+struct QueueAppend {
+    layout: JsonLayout,
+    queue: Arc<Queue>,
+}
+
+impl Append for QueueAppend {
+    fn append(&self, record: &Record<'_>, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        let mut line = self.layout.format(record, diags)?;
+        line.push(b'\n');
+        self.queue.push(line);
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
+static QUEUE: OnceLock<Arc<Queue>> = OnceLock::new();
+
+/// Starts logging; a second call in one process changes nothing.
+pub fn start(filter: &str) -> std::io::Result<()> {
+    let queue = Arc::new(Queue {
+        lines: ArrayQueue::new(WAITING),
+        dropped: AtomicU64::new(0),
+        second: AtomicU64::new(0),
+        written: AtomicU64::new(0),
+        started: Instant::now(),
+        writer: OnceLock::new(),
+    });
+    if QUEUE.set(queue.clone()).is_err() {
+        return Ok(());
+    }
+    let filter = RustLogFilterBuilder::try_from_spec(filter)
+        .unwrap_or_else(|_| RustLogFilterBuilder::from_spec(DEFAULT_FILTER))
+        .build();
+    let append = QueueAppend { layout: JsonLayout::default(), queue: queue.clone() };
+    let started = logforth::starter_log::builder()
+        .dispatch(|d| d.filter(filter).append(append))
+        .try_apply();
+    if started.is_err() {
+        return Ok(());
+    }
+    let writer = queue.clone();
+    let handle = thread::Builder::new().name("logs".into()).spawn(move || {
+        while writer.write() {
+            thread::park_timeout(IDLE);
+        }
+    })?;
+    let _ = queue.writer.set(handle.thread().clone());
+    Ok(())
+}
+
+/// Writes the lines that still wait; called once before the process ends.
+pub fn finish() {
+    if let Some(queue) = QUEUE.get() {
+        queue.write();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,317 @@
+//! Datagrams between nodes: who is there, and what each saw of backend servers.
+
+use crate::{
+    clock::duration,
+    exchange,
+    shared::Shared,
+};
+use redwingtrestle_core::{
+    ids::DataCentre,
+    process::{
+        mesh::{Hello, NodeState},
+        roster::{Counts, ServerReport},
+    },
+    time::{Span, Timestamp},
+};
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, sync::Arc};
+use tokio::net::UdpSocket;
+
+/// The largest datagram in bytes, which fits the usual links in one packet.
+const MAX_DATAGRAM: usize = 1_200;
+
+/// The most rows of one report, and the most addresses of one list, that fit a datagram.
+const MAX_ROWS: usize = 80;
+
+/// How often the control duty looks what is due.
+const TICK: Span = Span::from_millis(100);
+
+/// The time between two reports while nothing bad was seen.
+const REPORT: Span = Span::from_millis(250);
+
+/// How long a bad signal waits for others of the same moment.
+const GATHER: Span = Span::from_millis(3);
+
+/// How long a node that is behind another one waits for the store before it asks that node.
+const BEHIND: Span = Span::from_millis(300);
+
+/// The suspension of the machine after which everything is read again.
+const SUSPENDED: Span = Span::from_millis(500);
+
+/// The state of a node on the wire.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+enum StateDoc {
+    Starting,
+    Ready,
+    Stopping,
+}
+
+/// `Datagram` is one message between nodes.
+#[derive(Debug, Serialize, Deserialize)]
+enum Datagram {
+    /// The sender's own state.
+    Hello { start: u64, entry: SocketAddr, zone: String, state: StateDoc, version: u64, servers: u64 },
+    /// Addresses of nodes that the sender knows.
+    Nodes(Vec<SocketAddr>),
+    /// What the node `from` saw. A receiver that finds `pass` set hands it on in its own data centre.
+    Report { from: u64, pass: bool, rows: Vec<RowDoc> },
+}
+
+/// `RowDoc` is one server of a report on the wire.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct RowDoc {
+    tag: u32,
+    good: u8,
+    errors: u8,
+    lost: u8,
+    slow: u8,
+    in_flight: u16,
+}
+
+impl From<ServerReport> for RowDoc {
+    fn from(report: ServerReport) -> Self {
+        let Counts { good, errors, lost, slow } = report.counts;
+        let in_flight = report.in_flight.min(u32::from(u16::MAX)) as u16;
+        RowDoc { tag: report.tag, good, errors, lost, slow, in_flight }
+    }
+}
+
+impl From<RowDoc> for ServerReport {
+    fn from(row: RowDoc) -> Self {
+        let RowDoc { tag, good, errors, lost, slow, in_flight } = row;
+        let counts = Counts { good, errors, lost, slow };
+        ServerReport { tag, counts, in_flight: in_flight.into() }
+    }
+}
+
+impl From<NodeState> for StateDoc {
+    fn from(state: NodeState) -> Self {
+        match state {
+            NodeState::Starting => StateDoc::Starting,
+            NodeState::Ready => StateDoc::Ready,
+            NodeState::Stopping => StateDoc::Stopping,
+        }
+    }
+}
+
+impl From<StateDoc> for NodeState {
+    fn from(state: StateDoc) -> Self {
+        match state {
+            StateDoc::Starting => NodeState::Starting,
+            StateDoc::Ready => NodeState::Ready,
+            StateDoc::Stopping => NodeState::Stopping,
+        }
+    }
+}
+
+/// `Peers` runs the messages between nodes.
+#[derive(Debug)]
+pub struct Peers {
+    shared: Arc<Shared>,
+    socket: UdpSocket,
+    reported: Timestamp,
+    behind: Option<Timestamp>,
+    suspended: Span,
+    heard: usize,
+}
+
+impl Peers {
+    /// Makes the duty on a bound socket.
+    pub fn new(shared: Arc<Shared>, socket: UdpSocket) -> Self {
+        let now = shared.now();
+        {
+            let mut fleet = shared.fleet();
+            for seed in &shared.settings.seeds {
+                fleet.mesh.named(now, SocketAddr::new(seed.ip(), shared.settings.peer.port()));
+            }
+        }
+        let suspended = shared.clock.suspended();
+        Peers { shared, socket, reported: now, behind: None, suspended, heard: 0 }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        let mut tick = tokio::time::interval(duration(TICK));
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut buffer = [0u8; MAX_DATAGRAM + 1];
+        let shared = self.shared.clone();
+        let mut phase = shared.phase.subscribe();
+        loop {
+            tokio::select! {
+                received = self.socket.recv_from(&mut buffer) => {
+                    // An error is a refusal that an earlier datagram of ours met.
+                    if let Ok((count, from)) = received {
+                        self.receive(&buffer[..count], from).await;
+                    }
+                }
+                _ = tick.tick() => self.tick().await,
+                () = shared.urgent.notified() => {
+                    tokio::time::sleep(duration(GATHER)).await;
+                    self.report().await;
+                }
+                Ok(()) = phase.changed() => self.tell_all().await,
+            }
+        }
+    }
+
+    async fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
+        metrics::counter!("redwing_peer_bytes_total", "direction" => "in")
+            .increment(bytes.len() as u64);
+        let now = self.shared.now();
+        match postcard::from_bytes(bytes) {
+            Ok(Datagram::Hello { start, entry, zone, state, version, servers }) => {
+                let zone = DataCentre::from(zone.as_str());
+                let hello = Hello { start, entry, zone, state: state.into(), version, servers };
+                let is_new = self.shared.fleet().mesh.heard(now, from, hello);
+                if is_new {
+                    log::info!(target: "peers", peer:% = from, start, version; "a node is heard");
+                    self.introduce(from).await;
+                }
+            }
+            Ok(Datagram::Nodes(addrs)) => {
+                let mut fleet = self.shared.fleet();
+                for addr in addrs {
+                    fleet.mesh.named(now, addr);
+                }
+            }
+            Ok(Datagram::Report { from, pass, rows }) => {
+                for row in &rows {
+                    self.shared.fleet().roster.hear(now, from, &ServerReport::from(*row));
+                }
+                if pass {
+                    let near = {
+                        let mut fleet = self.shared.fleet();
+                        let crate::shared::Fleet { mesh, rng, .. } = &mut *fleet;
+                        mesh.near(now, rng)
+                    };
+                    self.send(&Datagram::Report { from, pass: false, rows }, &near).await;
+                }
+            }
+            Err(e) => {
+                metrics::counter!("redwing_dropped_messages_total", "reason" => "malformed")
+                    .increment(1);
+                log::debug!(target: "peers", peer:% = from; "a datagram cannot be read: {e}");
+            }
+        }
+    }
+
+    /// Answers a node that was not heard before with this node's state and the nodes that it knows.
+    async fn introduce(&self, to: SocketAddr) {
+        let mut known = self.shared.fleet().mesh.addresses();
+        known.retain(|addr| *addr != to);
+        known.truncate(MAX_ROWS);
+        self.send(&self.hello(), &[to]).await;
+        if !known.is_empty() {
+            self.send(&Datagram::Nodes(known), &[to]).await;
+        }
+    }
+
+    fn hello(&self) -> Datagram {
+        let state = self.shared.state().into();
+        let version = self.shared.catalog.load().as_ref().map_or(0, |c| c.version());
+        let servers = self.shared.fleet().servers.position().unwrap_or(0);
+        let zone = self.shared.zone.as_str().to_string();
+        let entry = self.shared.settings.entry;
+        Datagram::Hello { start: self.shared.start, entry, zone, state, version, servers }
+    }
+
+    async fn tick(&mut self) {
+        let now = self.shared.now();
+        self.check_clock();
+        let (due, size) = {
+            let mut fleet = self.shared.fleet();
+            let crate::shared::Fleet { mesh, rng, roster, .. } = &mut *fleet;
+            roster.tick(now);
+            (mesh.due(now, rng), mesh.size(now))
+        };
+        if size != self.heard {
+            log::info!(target: "peers", nodes = size, before = self.heard; "the number of nodes changed");
+            metrics::gauge!("redwing_gateway_peers").set((size - 1) as f64);
+            self.heard = size;
+        }
+        if !due.is_empty() {
+            self.send(&self.hello(), &due).await;
+        }
+        if now.since(self.reported) >= REPORT {
+            self.report().await;
+        }
+        self.shared.pool.sweep(now);
+        self.catch_up(now);
+    }
+
+    /// Reads everything again after the machine was suspended, as what is known may be old.
+    fn check_clock(&mut self) {
+        let suspended = self.shared.clock.suspended();
+        if suspended.as_micros() > (self.suspended + SUSPENDED).as_micros() {
+            let lost = suspended - self.suspended;
+            log::warn!(target: "clock", ms = lost.as_millis(); "the machine was suspended");
+            self.shared.refresh.notify_waiters();
+            self.shared.pool.clear();
+        }
+        self.suspended = suspended;
+    }
+
+    /// Asks another node for what the store has not told this one.
+    fn catch_up(&mut self, now: Timestamp) {
+        let version = self.shared.catalog.load().as_ref().map_or(0, |c| c.version());
+        let newer = {
+            let fleet = self.shared.fleet();
+            let servers = fleet.servers.position().unwrap_or(0);
+            fleet.mesh.newer(now, version, servers)
+        };
+        let Some(newer) = newer else {
+            self.behind = None;
+            return;
+        };
+        let since = *self.behind.get_or_insert(now);
+        if version > 0 && now.since(since) < BEHIND {
+            return;
+        }
+        self.behind = Some(now);
+        tokio::spawn(exchange::fetch(self.shared.clone(), newer));
+    }
+
+    async fn report(&mut self) {
+        let now = self.shared.now();
+        self.reported = now;
+        let (rows, near, relays) = {
+            let mut fleet = self.shared.fleet();
+            let crate::shared::Fleet { mesh, rng, roster, .. } = &mut *fleet;
+            let rows: Vec<RowDoc> = roster.take_reports().into_iter().map(RowDoc::from).collect();
+            if rows.is_empty() {
+                return;
+            }
+            let (near, relays) = mesh.report_targets(now, rng);
+            (rows, near, relays)
+        };
+        let from = self.shared.start;
+        for rows in rows.chunks(MAX_ROWS) {
+            let rows = rows.to_vec();
+            self.send(&Datagram::Report { from, pass: false, rows: rows.clone() }, &near).await;
+            self.send(&Datagram::Report { from, pass: true, rows }, &relays).await;
+        }
+    }
+
+    /// Tells every known node of a change of this node's state.
+    async fn tell_all(&self) {
+        let all = self.shared.fleet().mesh.addresses();
+        self.send(&self.hello(), &all).await;
+    }
+
+    async fn send(&self, datagram: &Datagram, to: &[SocketAddr]) {
+        let bytes = match postcard::to_allocvec(datagram) {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                log::error!(target: "peers", "a datagram cannot be written: {e}");
+                return;
+            }
+        };
+        for addr in to {
+            // A datagram that cannot be sent is lost like one that the network drops.
+            if self.socket.send_to(&bytes, addr).await.is_ok() {
+                metrics::counter!("redwing_peer_bytes_total", "direction" => "out")
+                    .increment(bytes.len() as u64);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/reply.rs
@@ -0,0 +1,201 @@
+//! Answers to callers: whole ones, and those that are passed on while they arrive.
+
+use crate::{accept::Busy, attempt::Flight, pool::Link, shared::OpenGuard};
+use bytes::Bytes;
+use hyper::{
+    body::{Body, Frame, Incoming, SizeHint},
+    header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, RETRY_AFTER},
+    Response, StatusCode,
+};
+use redwingtrestle_core::{codes::ResultCode, process::belief::Signal, time::Span};
+use std::{
+    future::Future,
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+};
+use tokio::time::Sleep;
+
+/// The headers that concern one connection only.
+const HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Removes the headers that concern one connection only, those that `Connection` names included.
+pub fn strip_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP {
+        headers.remove(name);
+    }
+}
+
+/// `Passing` is an answer that is passed on while it arrives.
+///
+/// It breaks off, and the caller's connection with it, when the server's answer does, so that a part never looks like
+/// the whole.
+#[derive(Debug)]
+pub struct Passing {
+    /// What has arrived already.
+    pub first: Option<Bytes>,
+    /// The rest.
+    pub rest: Incoming,
+    /// When the caller stops waiting.
+    pub end: Pin<Box<Sleep>>,
+    /// The send that the answer belongs to.
+    pub flight: Flight,
+    /// The connection, which goes back to the pool at the end.
+    pub link: Option<Link>,
+}
+
+impl Passing {
+    fn finish(&mut self) {
+        self.flight.succeed();
+        if let Some(link) = self.link.take() {
+            self.flight.give_back(link);
+        }
+    }
+
+    fn break_off(&mut self, what: &str) -> io::Error {
+        self.link = None;
+        self.flight.observe(Signal::Lost);
+        let (server, attempt) = (self.flight.server(), self.flight.attempt());
+        log::warn!(target: "requests", attempt, server; "an answer broke off while it was passed on: {what}");
+        io::Error::other(what.to_string())
+    }
+}
+
+/// `ReplyBody` is the body of an answer to a caller.
+#[derive(Debug)]
+pub struct ReplyBody {
+    kind: Kind,
+    /// Held until the body has been handed to the connection.
+    _busy: Option<Busy>,
+    _open: Option<OpenGuard>,
+}
+
+#[derive(Debug)]
+enum Kind {
+    Whole(Option<Bytes>),
+    Passing(Box<Passing>),
+}
+
+impl ReplyBody {
+    /// Attaches what is held until the body has been handed over.
+    pub fn holding(mut self, busy: Busy, open: OpenGuard) -> Self {
+        self._busy = Some(busy);
+        self._open = Some(open);
+        self
+    }
+}
+
+impl From<Bytes> for ReplyBody {
+    fn from(bytes: Bytes) -> Self {
+        let bytes = (!bytes.is_empty()).then_some(bytes);
+        ReplyBody { kind: Kind::Whole(bytes), _busy: None, _open: None }
+    }
+}
+
+impl From<Passing> for ReplyBody {
+    fn from(passing: Passing) -> Self {
+        ReplyBody { kind: Kind::Passing(Box::new(passing)), _busy: None, _open: None }
+    }
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let passing = match &mut self.kind {
+            Kind::Whole(bytes) => return Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Kind::Passing(passing) => passing,
+        };
+        if let Some(first) = passing.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        match Pin::new(&mut passing.rest).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+            Poll::Ready(Some(Err(e))) => Poll::Ready(Some(Err(passing.break_off(&e.to_string())))),
+            Poll::Ready(None) => {
+                passing.finish();
+                Poll::Ready(None)
+            }
+            Poll::Pending => match passing.end.as_mut().poll(context) {
+                Poll::Ready(()) => Poll::Ready(Some(Err(passing.break_off("the time is up")))),
+                Poll::Pending => Poll::Pending,
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self.kind, Kind::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.kind {
+            Kind::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Kind::Passing(passing) => {
+                let first = passing.first.as_ref().map_or(0, Bytes::len) as u64;
+                match passing.rest.size_hint().exact() {
+                    Some(rest) => SizeHint::with_exact(first + rest),
+                    None => SizeHint::default(),
+                }
+            }
+        }
+    }
+}
+
+/// Returns a server's answer for its caller.
+pub fn answer(
+    status: StatusCode,
+    mut headers: HeaderMap,
+    body: ReplyBody,
+    is_head: bool,
+) -> Response<ReplyBody> {
+    strip_hop(&mut headers);
+    // The length follows from the body, but the answer to a HEAD states the length of a body that it lacks.
+    if !is_head {
+        headers.remove(CONTENT_LENGTH);
+    }
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Returns the gateway's own refusal or failure, with the time after which to come back if the request did not run.
+pub fn refusal(code: ResultCode, wait: Option<Span>) -> Response<ReplyBody> {
+    let text = format!("{{\"code\":{},\"name\":\"{code}\",\"outcome\":\"{}\"}}", code.number(), code.outcome());
+    let mut response = Response::new(ReplyBody::from(Bytes::from(text)));
+    *response.status_mut() =
+        StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    headers.insert("content-type", HeaderValue::from_static("application/json"));
+    if let Some(wait) = wait {
+        let seconds = format!("{:.2}", wait.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,136 @@
+//! Settings of a gateway: JSON with comments, checked whole before it starts.
+
+use redwingtrestle_core::codes::ResultCode;
+use serde::Deserialize;
+use std::{net::SocketAddr, path::Path};
+
+/// `Settings` is what one gateway process is told at its start.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of the VM in logs.
+    pub node: String,
+    /// Where callers connect.
+    pub entry: SocketAddr,
+    /// Where the platform asks whether the node is ready.
+    pub health: SocketAddr,
+    /// Where callers ask which entries to use.
+    pub directory: SocketAddr,
+    /// Where other nodes connect, by UDP and TCP; the port is the same on all nodes.
+    pub peer: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// The data centre of this VM.
+    pub data_centre: String,
+    /// The address of the platform's store.
+    pub store: SocketAddr,
+    /// Addresses on VMs of other nodes; only their IP numbers are used, with the own peer port.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// How long callers may keep an answer of the directory, in seconds.
+    #[serde(default = "defaults::entries_ttl_s")]
+    pub entries_ttl_s: u64,
+    /// How long a planned stop may take, in milliseconds; the process is killed after it.
+    #[serde(default = "defaults::stop_ms")]
+    pub stop_ms: u64,
+    /// The resends of a service that are allowed for each of its requests, over all nodes.
+    #[serde(default = "defaults::retry_ratio")]
+    pub retry_ratio: f64,
+    /// The resends of a service that are always allowed within the window, over all nodes.
+    #[serde(default = "defaults::retry_floor")]
+    pub retry_floor: u64,
+    /// The window of the resend budget, in seconds.
+    #[serde(default = "defaults::retry_window_s")]
+    pub retry_window_s: u64,
+    /// The cost of a megabyte between data centres, in failed requests.
+    #[serde(default)]
+    pub zone_cost_mb: f64,
+    /// Which log lines are written.
+    #[serde(default = "defaults::log_filter")]
+    pub log_filter: String,
+}
+
+mod defaults {
+    pub(super) fn entries_ttl_s() -> u64 {
+        2
+    }
+
+    pub(super) fn stop_ms() -> u64 {
+        30_000
+    }
+
+    pub(super) fn retry_ratio() -> f64 {
+        0.1
+    }
+
+    pub(super) fn retry_floor() -> u64 {
+        10
+    }
+
+    pub(super) fn retry_window_s() -> u64 {
+        10
+    }
+
+    pub(super) fn log_filter() -> String {
+        crate::logs::DEFAULT_FILTER.into()
+    }
+}
+
+/// `Fault` is one thing that is wrong in a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The numbered code.
+    pub code: ResultCode,
+    /// What is wrong, with the setting's name where there is one.
+    pub what: String,
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} {}: {}", self.code.number(), self.code, self.what)
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn read(path: &Path) -> Result<Self, Vec<Fault>> {
+        let text = std::fs::read_to_string(path).map_err(|e| {
+            let what = format!("{}: {e}", path.display());
+            vec![Fault { code: ResultCode::SettingsUnreadable, what }]
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Checks the text of a settings file.
+    pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
+        let fault = |code, what: String| vec![Fault { code, what }];
+        let value = jsonc_parser::parse_to_serde_value(text, &Default::default())
+            .map_err(|e| fault(ResultCode::SettingsSyntax, e.to_string()))?
+            .unwrap_or_default();
+        let settings: Settings = serde_json::from_value(value)
+            .map_err(|e| fault(ResultCode::SettingsValue, e.to_string()))?;
+        let faults = settings.faults();
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(faults)
+        }
+    }
+
+    fn faults(&self) -> Vec<Fault> {
+        let checks = [
+            (self.node.is_empty(), "node: must not be empty"),
+            (self.data_centre.is_empty(), "data_centre: must not be empty"),
+            (self.entries_ttl_s == 0, "entries_ttl_s: must be at least 1"),
+            (self.stop_ms < 1_000, "stop_ms: must be at least 1000"),
+            (!(0.0..=1.0).contains(&self.retry_ratio), "retry_ratio: must be between 0 and 1"),
+            (self.retry_window_s == 0, "retry_window_s: must be at least 1"),
+            (!(0.0..=1e6).contains(&self.zone_cost_mb), "zone_cost_mb: must not be negative"),
+            (self.entry == self.peer, "peer: must differ from entry"),
+        ];
+        let wrong = checks.into_iter().filter(|(is_wrong, _)| *is_wrong);
+        wrong
+            .map(|(_, what)| Fault { code: ResultCode::SettingsValue, what: what.into() })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,253 @@
+//! The state of a gateway process that its threads share.
+
+use crate::{clock::Clock, dialect::Dialect, pool::Pool, settings::Settings};
+use arc_swap::ArcSwapOption;
+use rand::{rngs::StdRng, SeedableRng};
+use redwingtrestle_core::{
+    ids::{DataCentre, ServiceName},
+    process::{
+        feed::Feed,
+        mesh::{Mesh, MeshOptions, NodeState},
+        picker::PickerOptions,
+        roster::{Change, Roster, RosterOptions, ServerEntry, ServerId},
+    },
+    request::retry::{RetryBudget, RetryOptions},
+    time::{Span, Timestamp},
+    version::catalog::{Catalog, CatalogDoc},
+};
+use std::{
+    collections::HashMap,
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+    },
+};
+use tokio::sync::{watch, Notify};
+
+/// `Phase` is how far the process is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Running; whether it is ready follows from what it knows.
+    Running,
+    /// A planned stop has begun: callers are sent elsewhere, and whatever comes is still served.
+    Leaving,
+    /// No new connections are taken, and each open one ends with its request.
+    Closing,
+}
+
+/// Waits until the process closes its entry.
+pub async fn closing(phase: &mut watch::Receiver<Phase>) {
+    // The sender lives as long as the process, so the wait cannot fail.
+    let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+}
+
+/// `Fleet` is what is known of servers and nodes; its lock is held for single decisions only.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The backend servers.
+    pub roster: Roster,
+    /// The other nodes.
+    pub mesh: Mesh,
+    /// The resend budgets by service.
+    pub budgets: HashMap<ServiceName, RetryBudget>,
+    /// How far the registrations of servers are known.
+    pub servers: Feed,
+    /// How far the configuration is known.
+    pub configuration: Feed,
+    /// The bytes that requests of a route and their answers usually have.
+    pub sizes: HashMap<Arc<str>, f64>,
+    /// The random numbers of choices.
+    pub rng: StdRng,
+}
+
+/// `Shared` is the state of the process.
+#[derive(Debug)]
+pub struct Shared {
+    /// The settings of the start.
+    pub settings: Settings,
+    /// The names of this deployment.
+    pub dialect: Dialect,
+    /// The clock.
+    pub clock: Clock,
+    /// A number drawn at the start.
+    pub start: u64,
+    /// The data centre of this VM.
+    pub zone: DataCentre,
+    /// How servers are chosen.
+    pub picker: PickerOptions,
+    /// The configuration in force.
+    pub catalog: ArcSwapOption<Catalog>,
+    /// The open connections to backend servers.
+    pub pool: Pool,
+    /// The phase of the process.
+    pub phase: watch::Sender<Phase>,
+    /// Wakes requests that wait for a server.
+    pub changed: Notify,
+    /// Wakes the sender of reports at a bad signal.
+    pub urgent: Notify,
+    /// Wakes the followers of the store, so that they read again at once.
+    pub refresh: Notify,
+    open: AtomicUsize,
+    fleet: Mutex<Fleet>,
+}
+
+impl Shared {
+    /// Makes the state of a process that knows nothing yet.
+    pub fn new(settings: Settings, dialect: Dialect) -> Self {
+        let zone = DataCentre::from(settings.data_centre.as_str());
+        let picker =
+            PickerOptions { zone_mb: settings.zone_cost_mb, ..PickerOptions::default() };
+        let fleet = Fleet {
+            roster: Roster::new(RosterOptions::default()),
+            mesh: Mesh::new(MeshOptions::default(), settings.peer, zone.clone()),
+            budgets: HashMap::new(),
+            servers: Feed::default(),
+            configuration: Feed::default(),
+            sizes: HashMap::new(),
+            rng: StdRng::from_os_rng(),
+        };
+        Shared {
+            dialect,
+            clock: Clock::start(),
+            start: rand::random(),
+            zone,
+            picker,
+            catalog: ArcSwapOption::empty(),
+            pool: Pool::default(),
+            phase: watch::Sender::new(Phase::Running),
+            changed: Notify::new(),
+            urgent: Notify::new(),
+            refresh: Notify::new(),
+            open: AtomicUsize::new(0),
+            fleet: Mutex::new(fleet),
+            settings,
+        }
+    }
+
+    /// Returns the current time.
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Locks what is known of servers and nodes.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns what this node says of itself to other nodes and to the platform.
+    pub fn state(&self) -> NodeState {
+        if *self.phase.borrow() != Phase::Running {
+            return NodeState::Stopping;
+        }
+        let is_known = self.fleet().servers.position().is_some();
+        if is_known && self.catalog.load().is_some() {
+            NodeState::Ready
+        } else {
+            NodeState::Starting
+        }
+    }
+
+    /// Puts a configuration in force if it is newer than the one that is, and returns whether it was.
+    pub fn install(&self, doc: &CatalogDoc, source: &str) -> bool {
+        let known = self.catalog.load().as_ref().map_or(0, |c| c.version());
+        if doc.version <= known {
+            return false;
+        }
+        self.catalog.store(Some(Arc::new(Catalog::new(doc.clone()))));
+        metrics::gauge!("redwing_gateway_config_version").set(doc.version as f64);
+        log::info!(target: "configuration", version = doc.version, before = known,
+            routes = doc.routes.len(), source; "configuration in force");
+        self.changed.notify_waiters();
+        true
+    }
+
+    /// Takes one registration record.
+    pub fn register(&self, id: &ServerId, position: u64, entry: Option<ServerEntry>, source: &str) {
+        let change = self.fleet().roster.record(self.now(), id, position, entry);
+        self.log_change(id, position, change, source);
+    }
+
+    /// Takes a snapshot of all registrations.
+    pub fn register_all(&self, end: u64, records: Vec<(ServerEntry, u64)>, source: &str) {
+        let changes = self.fleet().roster.snapshot(self.now(), end, records);
+        for (id, change) in changes {
+            self.log_change(&id, end, change, source);
+        }
+    }
+
+    fn log_change(&self, id: &ServerId, position: u64, change: Change, source: &str) {
+        if matches!(change, Change::Nothing | Change::Updated) {
+            return;
+        }
+        if matches!(change, Change::Draining | Change::Ended | Change::Joined) {
+            self.pool.forget(id);
+        }
+        log::info!(target: "servers", server = id.as_str(), change:? = change, position, source;
+            "registration changed");
+        self.changed.notify_waiters();
+    }
+
+    /// Counts the first send of a request of a service.
+    pub fn count_request(&self, service: &ServiceName) {
+        let now = self.now();
+        self.with_budget(service, now, |budget| budget.request(now));
+    }
+
+    /// Takes one resend of a service from this node's part of the budget.
+    pub fn try_resend(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        self.with_budget(service, now, |budget| budget.try_resend(now))
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        now: Timestamp,
+        run: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut fleet = self.fleet();
+        // The part that does not depend on the requests is shared by all nodes. A node that hears nobody cannot know
+        // how many there are, so it assumes a large fleet.
+        let nodes = match fleet.mesh.size(now) {
+            1 => LONE_FLEET,
+            nodes => nodes as u64,
+        };
+        let settings = &self.settings;
+        let budget = fleet.budgets.entry(service.clone()).or_insert_with(|| {
+            RetryBudget::new(RetryOptions {
+                percent: (settings.retry_ratio * RATIO_USED * 100.0) as u64,
+                window: Span::from_secs(settings.retry_window_s),
+                floor: 0,
+            })
+        });
+        budget.set_floor((settings.retry_floor as f64 * RATIO_USED) as u64 / nodes);
+        run(budget)
+    }
+
+    /// Counts a request that is being served, until the guard is dropped.
+    pub fn open(self: &Arc<Self>) -> OpenGuard {
+        self.open.fetch_add(1, Ordering::SeqCst);
+        OpenGuard(self.clone())
+    }
+
+    /// Returns the number of requests that are being served.
+    pub fn open_count(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+}
+
+/// The nodes that a node assumes when it hears no other one.
+const LONE_FLEET: u64 = 30;
+
+/// The part of the resend budget that nodes use. The rest covers that the windows of the nodes do not begin together.
+const RATIO_USED: f64 = 0.85;
+
+/// `OpenGuard` counts a request as open while it lives.
+#[derive(Debug)]
+pub struct OpenGuard(Arc<Shared>);
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -3,7 +3,9 @@
 #![forbid(unsafe_code)]
 
 use argh::FromArgs;
+use redwingtrestle_gateway::{gateway, settings::Settings as GatewaySettings};
 use redwingtrestle_node::{demo::Demo, logging, node::Node, settings::Settings};
+use redwingtrestle_platform::{dialect::dialect, store::StoreClient};
 use std::{
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -26,6 +28,7 @@
 enum Command {
     Run(Run),
     Check(Check),
+    Gateway(Gateway),
     DemoRun(DemoRun),
 }
 
@@ -47,6 +50,18 @@
     settings: PathBuf,
 }
 
+/// Run a gateway on the users' platform.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "gateway")]
+struct Gateway {
+    /// the settings file, JSON with comments
+    #[argh(option)]
+    settings: PathBuf,
+    /// only check the settings
+    #[argh(switch)]
+    check: bool,
+}
+
 /// Run one node with sample backend servers until Ctrl-C.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "demo")]
@@ -74,6 +89,7 @@
         }
         Some(Command::Run(run)) => run_node(&run.settings),
         Some(Command::Check(check)) => check_settings(&check.settings),
+        Some(Command::Gateway(gateway)) => run_gateway(gateway),
         Some(Command::DemoRun(demo)) => run_demo(&demo),
         None => Err("a command is needed; see redwingd --help".to_string()),
     };
@@ -105,6 +121,18 @@
     node.stop().map_err(|e| e.to_string())
 }
 
+fn run_gateway(args: Gateway) -> Result<(), String> {
+    let settings = GatewaySettings::read(&args.settings)
+        .map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))?;
+    if args.check {
+        println!("{} is valid", args.settings.display());
+        return Ok(());
+    }
+    redwingtrestle_gateway::logs::start(&settings.log_filter).map_err(|e| e.to_string())?;
+    let store = StoreClient::new(settings.store).map_err(|e| e.to_string())?;
+    gateway::run(settings, args.settings, store, dialect()).map_err(|e| e.to_string())
+}
+
 fn run_demo(args: &DemoRun) -> Result<(), String> {
     logging::start(logging::DEFAULT_FILTER);
     let fail_after = args.fail_after.map(Duration::from_secs);
