Judge servers by successes that began after their last failure; weigh load by lateness

Second cause: load lowered a server's share long before an answer would be late, so bursts went to failing servers, which look idle. Third: resends after a refusal were spent while the whole service was full.

--- a/crates/core/src/process/mesh.rs
+++ b/crates/core/src/process/mesh.rs
@@ -33,6 +33,8 @@
     pub version: u64,
     /// The position up to which it knows the registrations of servers, zero without any.
     pub servers: u64,
+    /// Whether the store answers it.
+    pub follows: bool,
 }
 
 /// `MeshOptions` holds the intervals between messages and the limits of the fan-out.
@@ -45,6 +47,8 @@
     pub far: Span,
     /// The intervals of silence after which a node counts as lost.
     pub missed: u64,
+    /// The nodes of a data centre that follow the store for the others there. With two, the loss of one is not noticed.
+    pub readers: usize,
     /// The most nodes of the own data centre that get each message.
     pub fan_near: usize,
     /// The most nodes of each other data centre that get each message.
@@ -54,9 +58,10 @@
 impl Default for MeshOptions {
     fn default() -> Self {
         MeshOptions {
-            near: Span::from_millis(400),
+            near: Span::from_millis(300),
             far: Span::from_millis(1_000),
             missed: 3,
+            readers: 2,
             fan_near: 24,
             fan_far: 4,
         }
@@ -216,11 +221,24 @@
         entries
     }
 
+    /// Returns whether this node follows the store itself, as one of the first of its data centre that the store
+    /// answers. The others learn from these, because each call to the store is paid for.
+    pub fn is_reader(&self, now: Timestamp) -> bool {
+        let before = |addr: &SocketAddr, h: &Hello| {
+            h.zone == self.zone && h.follows && h.state != NodeState::Stopping && *addr < self.own
+        };
+        let ahead = self.alive(now).filter(|(addr, h)| before(addr, h)).count();
+        ahead < self.options.readers
+    }
+
     /// Returns a node that knows a newer configuration or newer registrations.
     pub fn newer(&self, now: Timestamp, version: u64, servers: u64) -> Option<SocketAddr> {
         let ahead = |h: &Hello| h.version > version || h.servers > servers;
         let best = self.alive(now).filter(|(_, h)| ahead(h));
-        best.max_by_key(|(addr, h)| (h.version, h.servers, *addr)).map(|(addr, _)| addr)
+        let key = |(addr, h): &(SocketAddr, &Hello)| {
+            (h.version, h.servers, h.zone == self.zone, std::cmp::Reverse(*addr))
+        };
+        best.max_by_key(key).map(|(addr, _)| addr)
     }
 }
 
--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -3,7 +3,7 @@
 use crate::{
     ids::{DataCentre, ServiceName},
     process::roster::{Member, Roster, ServerId},
-    time::Timestamp,
+    time::{Span, Timestamp},
 };
 use rand::Rng;
 use std::net::SocketAddr;
@@ -13,28 +13,41 @@
 pub struct PickerOptions {
     /// How strongly a higher loss lowers the share of a server: a loss of 1 / `focus` more divides it by e.
     pub focus: f64,
-    /// The loss of one more request at a server all of whose slots are busy. It grows with the square of the load.
-    pub full: f64,
+    /// The loss of a request at a server all of whose slots are busy. It spreads requests evenly.
+    pub even: f64,
+    /// The loss of a request whose answer comes after its target.
+    pub late: f64,
     /// The loss of a megabyte between data centres.
     pub zone_mb: f64,
 }
 
 impl Default for PickerOptions {
     fn default() -> Self {
-        PickerOptions { focus: 16.0, full: 0.25, zone_mb: 0.0 }
+        PickerOptions { focus: 16.0, even: 0.05, late: 1.0, zone_mb: 0.0 }
     }
 }
 
-/// The load, in multiples of the slots, above which more load no longer matters for the choice.
+/// The load, in multiples of the slots, above which more load no longer matters for an even spread.
 const MAX_LOAD: f64 = 5.0;
 
+/// The expected answer time, in parts of the target, from which on a late answer is feared, and at which it is certain.
+const LATE_FROM: f64 = 0.6;
+const LATE_AT: f64 = 1.2;
+
+/// The share of answers whose time is taken for that of a server with free slots.
+const UNLOADED: f64 = 0.25;
+
 /// `Ask` describes the request that needs a server.
 #[derive(Clone, Debug)]
 pub struct Ask<'a> {
     /// The service.
     pub service: &'a ServiceName,
+    /// The time within which an answer has its full value.
+    pub target: Span,
     /// The data centre of this node.
     pub zone: &'a DataCentre,
+    /// What a failure there costs, in failed requests: less than 1 if the request can then be sent to another server.
+    pub failure: f64,
     /// The bytes that the request and its answer usually have.
     pub bytes: f64,
     /// Servers that were tried already.
@@ -54,16 +67,41 @@
     pub failure: f64,
     /// The known requests in flight there, of all nodes.
     pub load: u32,
+    /// How surely the answer is late, from 0 to 1, because of what already waits there.
+    pub late: f64,
     /// The servers among which it was chosen.
     pub among: usize,
 }
 
-/// Returns the loss that is expected of one more request at `member`.
-fn loss(options: &PickerOptions, roster: &Roster, now: Timestamp, m: &Member, ask: &Ask<'_>) -> f64 {
-    let slots = f64::from(m.entry().slots.max(1)) * m.speed(now);
-    let load = f64::from(m.load(roster.options(), now) + 1) / slots;
-    let crossing = if m.entry().zone == *ask.zone { 0.0 } else { options.zone_mb * ask.bytes / 1e6 };
-    m.failure(&roster.options().belief, now) + options.full * load.min(MAX_LOAD).powi(2) + crossing
+/// Returns the loss that is expected of one more request at `member`; `work` is the time of an answer without queue.
+///
+/// A server runs as many requests at once as it has slots, and the others wait there, so the answer time grows with
+/// the load. Waiting costs nothing as long as the answer is in time: a busy sound server is better than a failing one,
+/// which always looks idle because it fails at once.
+fn loss(
+    options: &PickerOptions,
+    roster: &Roster,
+    now: Timestamp,
+    member: &Member,
+    ask: &Ask<'_>,
+    work: Span,
+) -> Loss {
+    let slots = f64::from(member.entry().slots.max(1)) * member.speed(now);
+    let load = f64::from(member.load(roster.options(), now) + 1) / slots;
+    let time = work.as_secs_f64() * load.max(1.0) / ask.target.as_secs_f64().max(1e-3);
+    let late = ((time - LATE_FROM) / (LATE_AT - LATE_FROM)).clamp(0.0, 1.0);
+    let is_near = member.entry().zone == *ask.zone;
+    let crossing = if is_near { 0.0 } else { options.zone_mb * ask.bytes / 1e6 };
+    let failure = member.failure(&roster.options().belief, now);
+    let even = options.even * load.min(MAX_LOAD);
+    Loss { all: ask.failure * failure + even + options.late * late + crossing, late }
+}
+
+/// `Loss` is the expected loss at one server.
+#[derive(Clone, Copy, Debug)]
+struct Loss {
+    all: f64,
+    late: f64,
 }
 
 /// Chooses a server at random, those with a low expected loss far more often than others.
@@ -77,26 +115,28 @@
     ask: &Ask<'_>,
     rng: &mut impl Rng,
 ) -> Option<Choice> {
+    let work = roster.usual(ask.service, UNLOADED).unwrap_or(Span::ZERO);
     let usable = roster.usable(now, ask.service);
-    let open: Vec<(&Member, f64)> = usable
+    let open: Vec<(&Member, Loss)> = usable
         .iter()
         .filter(|m| !ask.tried.contains(&m.entry().id) && m.in_flight() < ask.limit)
-        .map(|m| (*m, loss(options, roster, now, m, ask)))
+        .map(|m| (*m, loss(options, roster, now, m, ask, work)))
         .collect();
-    let least = open.iter().map(|(_, loss)| *loss).min_by(f64::total_cmp)?;
+    let least = open.iter().map(|(_, loss)| loss.all).min_by(f64::total_cmp)?;
     let weights: Vec<f64> =
-        open.iter().map(|(_, loss)| (-options.focus * (loss - least)).exp()).collect();
+        open.iter().map(|(_, loss)| (-options.focus * (loss.all - least)).exp()).collect();
     let mut point = rng.random::<f64>() * weights.iter().sum::<f64>();
     let index = weights.iter().position(|w| {
         point -= w;
         point < 0.0
     });
-    let (member, _) = open[index.unwrap_or(open.len() - 1)];
+    let (member, loss) = open[index.unwrap_or(open.len() - 1)];
     Some(Choice {
         id: member.entry().id.clone(),
         addr: member.entry().addr,
         failure: member.failure(&roster.options().belief, now),
         load: member.load(roster.options(), now),
+        late: loss.late,
         among: open.len(),
     })
 }
--- a/crates/core/src/process/roster.rs
+++ b/crates/core/src/process/roster.rs
@@ -125,6 +125,7 @@
     warm: Timestamp,
     shared: Belief,
     path: Belief,
+    failed: Option<Timestamp>,
     in_flight: u32,
     others: BTreeMap<u64, (u32, Timestamp)>,
     counts: Counts,
@@ -181,6 +182,12 @@
 const FOREIGN_PATH_SHARE: f64 = 0.5;
 
 impl Member {
+    /// Notes a failure: successes that wait to be reported were sent before it.
+    fn fail(&mut self, now: Timestamp) {
+        self.failed = Some(now);
+        self.counts.good = 0;
+    }
+
     /// Returns what the server wrote.
     pub fn entry(&self) -> &ServerEntry {
         &self.entry
@@ -220,6 +227,9 @@
     }
 }
 
+/// A record of a server: its id, its position, and its entry unless the registration ended there.
+pub type ServerRecord = (ServerId, u64, Option<ServerEntry>);
+
 /// `Roster` holds all registered servers of all services.
 #[derive(Clone, Debug)]
 pub struct Roster {
@@ -230,6 +240,7 @@
     latencies: HashMap<ServiceName, Latency>,
     touched: Vec<ServerId>,
     store_away: Option<Timestamp>,
+    forgotten: u64,
 }
 
 impl Roster {
@@ -243,6 +254,7 @@
             latencies: HashMap::new(),
             touched: Vec::new(),
             store_away: None,
+            forgotten: 0,
         }
     }
 
@@ -262,6 +274,19 @@
         registered.map(|m| (m.entry.clone(), m.position)).collect()
     }
 
+    /// Returns what changed from `position` on, or none if ends of registrations since then have been forgotten.
+    pub fn since(&self, position: u64) -> Option<Vec<ServerRecord>> {
+        if position < self.forgotten {
+            return None;
+        }
+        let changed = self.members.iter().filter(|(_, m)| m.position >= position);
+        let record = |(id, m): (&ServerId, &Member)| {
+            let entry = (m.presence != Presence::Ended).then(|| m.entry.clone());
+            (id.clone(), m.position, entry)
+        };
+        Some(changed.map(record).collect())
+    }
+
     /// Notes that the store did not answer at `now`, so registrations that end about now may only have lapsed.
     pub fn store_away(&mut self, now: Timestamp) {
         self.store_away = Some(now);
@@ -369,6 +394,7 @@
             warm: now + entry.warmup,
             shared: Belief::new(now),
             path: Belief::new(now),
+            failed: None,
             in_flight: 0,
             others: BTreeMap::new(),
             counts: Counts::default(),
@@ -397,6 +423,8 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in old {
+            let position = self.members.get(&id).map_or(0, |m| m.position + 1);
+            self.forgotten = self.forgotten.max(position);
             self.remove(&id);
         }
     }
@@ -439,17 +467,26 @@
         }
     }
 
-    /// Takes what this node saw of a server, and how long a good answer took.
-    pub fn observe(&mut self, now: Timestamp, id: &ServerId, signal: Signal, took: Option<Span>) {
+    /// Takes what this node saw of a server in a request that was sent at `begun`.
+    ///
+    /// A failing server shows it at once, while a success takes the time of the work. Successes that were sent before
+    /// the newest failure would hide it, so they say nothing.
+    pub fn observe(&mut self, now: Timestamp, id: &ServerId, signal: Signal, begun: Timestamp) {
         let Some(member) = self.members.get_mut(id) else { return };
+        if signal == Signal::Success {
+            let latency = self.latencies.entry(member.entry.service.clone()).or_default();
+            latency.record(now.since(begun));
+            if member.failed.is_some_and(|failed| begun <= failed) {
+                return;
+            }
+        } else {
+            member.fail(now);
+        }
         let options = &self.options.belief;
         member.shared.observe(options, now, signal, 1.0);
         member.path.observe(options, now, signal, 1.0);
         member.counts.add(signal);
         touch(&mut self.touched, id);
-        if let Some(took) = took {
-            self.latencies.entry(member.entry.service.clone()).or_default().record(took);
-        }
     }
 
     /// Takes what the node `from` saw of a server.
@@ -460,6 +497,9 @@
         let age = self.options.report_age;
         member.others.retain(|_, (count, at)| *count > 0 && now.since(*at) <= age);
         for (signal, count) in report.counts.signals() {
+            if count > 0 && signal != Signal::Success {
+                member.fail(now);
+            }
             let share = if signal.is_path() { FOREIGN_PATH_SHARE } else { 1.0 };
             for _ in 0..count {
                 member.shared.observe(&self.options.belief, now, signal, share);
--- a/crates/core/src/request/retry.rs
+++ b/crates/core/src/request/retry.rs
@@ -129,13 +129,15 @@
     pub window: Span,
     /// Resends that the window allows however few requests it holds.
     pub floor: u64,
+    /// Resends that the window allows beyond the share and the floor.
+    pub extra: u64,
 }
 
 impl Default for RetryOptions {
     fn default() -> Self {
         // Below 30 requests in 10 s a tenth is less than 3, and a service with a few requests a
         // minute could never resend after a failed connect.
-        RetryOptions { percent: 10, window: Span::from_secs(10), floor: 3 }
+        RetryOptions { percent: 10, window: Span::from_secs(10), floor: 3, extra: 0 }
     }
 }
 
@@ -166,9 +168,9 @@
         RetryBudget { options, intervals: VecDeque::new(), requests: 0, resends: 0 }
     }
 
-    /// Replaces the number of resends that the window always allows.
-    pub fn set_floor(&mut self, floor: u64) {
-        self.options.floor = floor;
+    /// Replaces the number of resends that the window allows beyond the share and the floor.
+    pub fn set_extra(&mut self, extra: u64) {
+        self.options.extra = extra;
     }
 
     /// Counts the first send of a request.
@@ -182,7 +184,7 @@
         // Intervals that left the window must not count.
         self.interval(now);
         let share = self.requests.saturating_mul(self.options.percent) / 100;
-        if self.resends >= share.max(self.options.floor) {
+        if self.resends >= share.max(self.options.floor) + self.options.extra {
             return false;
         }
         self.interval(now).resends += 1;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -114,8 +114,7 @@
     /// Takes a signal into account, and sends it to the other nodes at once if it is bad.
     pub fn observe(&mut self, signal: Signal) {
         let now = self.shared.now();
-        let took = (signal == Signal::Success).then(|| now.since(self.begun));
-        self.shared.fleet().roster.observe(now, &self.id, signal, took);
+        self.shared.fleet().roster.observe(now, &self.id, signal, self.begun);
         if signal != Signal::Success {
             self.shared.urgent.notify_one();
         }
@@ -128,6 +127,19 @@
         }
     }
 
+    /// Notes a refusal. A server that refuses work while it has free slots is failing, not full.
+    fn shed(&mut self) {
+        let is_full = {
+            let fleet = self.shared.fleet();
+            let now = self.shared.now();
+            let roster = &fleet.roster;
+            roster.member(&self.id).is_none_or(|m| m.load(roster.options(), now) > m.entry().slots)
+        };
+        if !is_full {
+            self.observe(Signal::Slow);
+        }
+    }
+
     fn slow(&mut self) {
         self.is_slow = true;
         self.observe(Signal::Slow);
@@ -336,6 +348,7 @@
         flight.observe(Signal::Unreachable);
         return Ended::NotRun(NotRun::Misdirected);
     }
+    flight.shed();
     if let Ok(Collected::Whole(_)) = collect(body).await {
         flight.give_back(link);
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,7 +11,10 @@
     server::{BatchRequestConfig, RpcModule, ServerConfig, ServerHandle},
     types::ErrorObjectOwned,
 };
-use redwingtrestle_core::{process::roster::ServerEntry, version::catalog::CatalogDoc};
+use redwingtrestle_core::{
+    process::roster::{ServerEntry, ServerRecord},
+    version::catalog::CatalogDoc,
+};
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -39,7 +42,15 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct ServersDoc {
     end: u64,
-    entries: Vec<(ServerEntry, u64)>,
+    records: RecordsDoc,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum RecordsDoc {
+    /// All registrations.
+    All(Vec<(ServerEntry, u64)>),
+    /// What changed since the asker's position.
+    Since(Vec<ServerRecord>),
 }
 
 /// Starts to answer calls of other nodes.
@@ -70,7 +81,11 @@
     let catalog = catalog.as_ref().filter(|c| c.version() > version).map(|c| c.doc().clone());
     let fleet = shared.fleet();
     let end = fleet.servers.position().filter(|end| *end > servers);
-    let servers = end.map(|end| ServersDoc { end, entries: fleet.roster.entries() });
+    let servers = end.map(|end| {
+        let since = (servers > 0).then(|| fleet.roster.since(servers)).flatten();
+        let records = since.map_or_else(|| RecordsDoc::All(fleet.roster.entries()), RecordsDoc::Since);
+        ServersDoc { end, records }
+    });
     StateDoc { catalog, servers }
 }
 
@@ -97,8 +112,15 @@
             if let Some(doc) = catalog {
                 shared.install(&doc, "peer");
             }
-            if let Some(ServersDoc { end, entries }) = servers {
-                shared.register_all(end, entries, "peer");
+            if let Some(ServersDoc { end, records }) = servers {
+                match records {
+                    RecordsDoc::All(entries) => shared.register_all(end, entries, "peer"),
+                    RecordsDoc::Since(records) => {
+                        for (id, position, entry) in records {
+                            shared.register(&id, position, entry, "peer");
+                        }
+                    }
+                }
                 shared.fleet().servers.relayed(end);
             }
         }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -17,11 +17,11 @@
 /// How long a watch waits for a record. Each call is priced, and a silent connection is found by its own means.
 const WATCH: Duration = Duration::from_secs(25);
 
-/// How often a node that hears no other one looks for nodes in the store.
-const LONELY_CHECK: Duration = Duration::from_secs(3);
+/// How often a node that does not follow the store looks whether it has to.
+const TURN_CHECK: Duration = Duration::from_millis(200);
 
-/// How often the nodes in the store are read otherwise.
-const NODES_CHECK: Duration = Duration::from_secs(60);
+/// How often a node looks whether it hears others, and whether it should be found in the store.
+const NODES_CHECK: Duration = Duration::from_secs(2);
 
 /// Returns the feed of a stream.
 fn feed(fleet: &mut Fleet, stream: Stream) -> &mut Feed {
@@ -35,6 +35,7 @@
 pub async fn follow<S: Store>(shared: Arc<Shared>, store: S, stream: Stream) {
     let name: &'static str = stream.into();
     loop {
+        wait_for_turn(&shared, stream).await;
         let step = feed(&mut shared.fleet(), stream).step();
         let result = tokio::select! {
             result = call(&store, stream, step) => result,
@@ -56,6 +57,17 @@
     }
 }
 
+/// Waits while other nodes follow the store for this one. The first snapshot is always read here.
+async fn wait_for_turn(shared: &Shared, stream: Stream) {
+    loop {
+        let is_known = feed(&mut shared.fleet(), stream).position().is_some();
+        if !is_known || shared.is_reader() {
+            return;
+        }
+        tokio::time::sleep(TURN_CHECK).await;
+    }
+}
+
 async fn call<S: Store>(store: &S, stream: Stream, step: Step) -> Result<Batch, StoreError> {
     match step {
         Step::Newest => store.newest(stream).await,
@@ -80,6 +92,7 @@
     } else {
         feed(&mut shared.fleet(), stream).changes(end);
     }
+    shared.news.notify_one();
     if was_away {
         log::info!(target: "store", stream:% = stream, end; "the store answers again");
     }
@@ -134,15 +147,23 @@
 }
 
 /// Announces this node and learns of others until the process ends.
+///
+/// Nodes find each other by the addresses in their settings. The store is for those that hear nobody by them, so only
+/// the nodes that follow the store are announced there.
 pub async fn nodes<S: Store>(shared: Arc<Shared>, store: S) {
-    let mut announced = false;
+    let mut is_announced = false;
     loop {
-        if !announced {
+        tokio::time::sleep(NODES_CHECK).await;
+        let is_lonely = shared.fleet().mesh.size(shared.now()) == 1;
+        if !is_announced && shared.is_reader() {
             match store.announce(shared.settings.peer).await {
-                Ok(()) => announced = true,
+                Ok(()) => is_announced = true,
                 Err(e) => log::warn!(target: "store", stream:% = Stream::Nodes; "cannot announce this node: {e}"),
             }
         }
+        if !is_lonely {
+            continue;
+        }
         match store.newest(Stream::Nodes).await {
             Ok(batch) => {
                 let now = shared.now();
@@ -157,8 +178,5 @@
                 log::warn!(target: "store", stream:% = Stream::Nodes; "cannot read the nodes: {e}");
             }
         }
-        let is_lonely = shared.fleet().mesh.size(shared.now()) == 1;
-        let pause = if is_lonely || !announced { LONELY_CHECK } else { NODES_CHECK };
-        tokio::time::sleep(pause).await;
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -32,6 +32,15 @@
 /// How long a bad signal waits for others of the same moment.
 const GATHER: Span = Span::from_millis(3);
 
+/// The least time between two questions to other nodes.
+const ASK: Span = Span::from_millis(50);
+
+/// How long a node stays behind others before it follows the store itself.
+const ALONE_AFTER: Span = Span::from_millis(600);
+
+/// How long a node follows the store itself after that.
+const ALONE: Span = Span::from_secs(10);
+
 /// How long a node that is behind another one waits for the store before it asks that node.
 const BEHIND: Span = Span::from_millis(300);
 
@@ -50,7 +59,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 enum Datagram {
     /// The sender's own state.
-    Hello { start: u64, entry: SocketAddr, zone: String, state: StateDoc, version: u64, servers: u64 },
+    Hello { start: u64, entry: SocketAddr, zone: String, state: StateDoc, version: u64, servers: u64, follows: bool },
     /// Addresses of nodes that the sender knows.
     Nodes(Vec<SocketAddr>),
     /// What the node `from` saw. A receiver that finds `pass` set hands it on in its own data centre.
@@ -111,6 +120,7 @@
     socket: UdpSocket,
     reported: Timestamp,
     behind: Option<Timestamp>,
+    asked: Timestamp,
     suspended: Span,
     heard: usize,
 }
@@ -126,7 +136,7 @@
             }
         }
         let suspended = shared.clock.suspended();
-        Peers { shared, socket, reported: now, behind: None, suspended, heard: 0 }
+        Peers { shared, socket, reported: now, behind: None, asked: Timestamp::ZERO, suspended, heard: 0 }
     }
 
     /// Runs until the process ends.
@@ -150,6 +160,7 @@
                     self.report().await;
                 }
                 Ok(()) = phase.changed() => self.tell_all().await,
+                () = shared.news.notified() => self.tell_near().await,
             }
         }
     }
@@ -159,14 +170,15 @@
             .increment(bytes.len() as u64);
         let now = self.shared.now();
         match postcard::from_bytes(bytes) {
-            Ok(Datagram::Hello { start, entry, zone, state, version, servers }) => {
+            Ok(Datagram::Hello { start, entry, zone, state, version, servers, follows }) => {
                 let zone = DataCentre::from(zone.as_str());
-                let hello = Hello { start, entry, zone, state: state.into(), version, servers };
+                let hello = Hello { start, entry, zone, state: state.into(), version, servers, follows };
                 let is_new = self.shared.fleet().mesh.heard(now, from, hello);
                 if is_new {
                     log::info!(target: "peers", peer:% = from, start, version; "a node is heard");
                     self.introduce(from).await;
                 }
+                self.catch_up(now);
             }
             Ok(Datagram::Nodes(addrs)) => {
                 let mut fleet = self.shared.fleet();
@@ -209,10 +221,14 @@
     fn hello(&self) -> Datagram {
         let state = self.shared.state().into();
         let version = self.shared.catalog.load().as_ref().map_or(0, |c| c.version());
-        let servers = self.shared.fleet().servers.position().unwrap_or(0);
+        let (servers, follows) = {
+            let fleet = self.shared.fleet();
+            let is_away = fleet.servers.is_away() || fleet.configuration.is_away();
+            (fleet.servers.position().unwrap_or(0), !is_away)
+        };
         let zone = self.shared.zone.as_str().to_string();
         let entry = self.shared.settings.entry;
-        Datagram::Hello { start: self.shared.start, entry, zone, state, version, servers }
+        Datagram::Hello { start: self.shared.start, entry, zone, state, version, servers, follows }
     }
 
     async fn tick(&mut self) {
@@ -264,10 +280,16 @@
             return;
         };
         let since = *self.behind.get_or_insert(now);
-        if version > 0 && now.since(since) < BEHIND {
+        if now.since(since) >= ALONE_AFTER {
+            log::info!(target: "peers", peer:% = newer, version; "this node cannot learn from others and follows the store");
+            self.shared.read_alone(ALONE);
+            self.behind = Some(now);
+        }
+        let is_waiting = version > 0 && self.shared.is_reader() && now.since(since) < BEHIND;
+        if is_waiting || now.since(self.asked) < ASK {
             return;
         }
-        self.behind = Some(now);
+        self.asked = now;
         tokio::spawn(exchange::fetch(self.shared.clone(), newer));
     }
 
@@ -292,6 +314,17 @@
         }
     }
 
+    /// Tells the nodes of the own data centre of news from the store.
+    async fn tell_near(&self) {
+        let now = self.shared.now();
+        let near = {
+            let mut fleet = self.shared.fleet();
+            let crate::shared::Fleet { mesh, rng, .. } = &mut *fleet;
+            mesh.near(now, rng)
+        };
+        self.send(&self.hello(), &near).await;
+    }
+
     /// Tells every known node of a change of this node's state.
     async fn tell_all(&self) {
         let all = self.shared.fleet().mesh.addresses();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -57,6 +57,12 @@
 /// The shortest wait before a second server is asked.
 const LEAST_HEDGE: Span = Span::from_millis(150);
 
+/// How surely an answer is late at a server that is not worth a resend after a refusal, see [`Choice::late`].
+const FULL: f64 = 0.3;
+
+/// What a failure costs that is followed by another send, in failed requests: a delay and a part of the budget.
+const REPEATABLE_FAILURE: f64 = 0.8;
+
 /// The least share of a server's connections that one node may use.
 const LEAST_CONNECTIONS: u32 = 4;
 
@@ -325,16 +331,19 @@
         loop {
             if is_wanted {
                 is_wanted = false;
-                let next = body.take().or_else(|| again.take());
-                again = next.as_ref().and_then(OutBody::again);
-                match (next, self.choose(course, running.is_empty()).await) {
-                    (Some(next), Some(choice)) => {
+                let choice = self.choose(course, running.is_empty()).await;
+                match choice.filter(|choice| self.may_use(choice, course)) {
+                    Some(choice) => {
+                        let Some(next) = body.take().or_else(|| again.take()) else {
+                            return self.give_up(course);
+                        };
+                        again = next.again();
                         course.tried.push(choice.id.clone());
                         course.sends += 1;
                         running.push(self.send(choice, next).boxed());
                     }
-                    _ if running.is_empty() => return self.give_up(course),
-                    _ => {}
+                    None if running.is_empty() => return self.give_up(course),
+                    None => {}
                 }
             }
             tokio::select! {
@@ -353,8 +362,7 @@
                 }
                 () = &mut hedge, if !is_hedged => {
                     is_hedged = true;
-                    is_wanted = course.sends < self.route.attempts
-                        && self.shared.try_resend(&self.outgoing.service);
+                    is_wanted = self.may_send_again(course);
                 }
             }
         }
@@ -417,14 +425,24 @@
         None
     }
 
+    /// Returns whether the request may go to one more server.
     fn may_send_again(&self, course: &Course) -> bool {
-        if course.may_have_run && self.outgoing.once {
-            return false;
-        }
-        let is_first = course.sends == 0;
-        course.sends < self.route.attempts
+        let is_safe = !(course.may_have_run && self.outgoing.once);
+        is_safe
+            && course.sends < self.route.attempts
             && self.end.since(self.shared.now()) > LEAST_LEFT
-            && (is_first || self.shared.try_resend(&self.outgoing.service))
+    }
+
+    /// Returns whether the chosen server is worth a send, and takes a resend from the budget.
+    ///
+    /// While a whole service is full, a request that was refused by one server would be refused by the next, and the
+    /// budget would be missing when it can help.
+    fn may_use(&self, choice: &Choice, course: &Course) -> bool {
+        if course.sends == 0 {
+            return true;
+        }
+        let is_full = course.is_shed && choice.late > FULL;
+        !is_full && self.shared.try_resend(&self.outgoing.service)
     }
 
     /// Chooses a server. A request with nothing in flight waits a short time for one to appear.
@@ -437,11 +455,13 @@
             if self.end.since(self.shared.now()) <= LEAST_LEFT {
                 return None;
             }
-            if let Some(choice) = self.pick(&course.tried) {
+            let is_last = self.outgoing.once || course.sends + 1 >= self.route.attempts;
+            let failure = if is_last { 1.0 } else { REPEATABLE_FAILURE };
+            if let Some(choice) = self.pick(&course.tried, failure) {
                 return Some(choice);
             }
             if course.is_shed && is_paused {
-                return self.pick(&[]);
+                return self.pick(&[], failure);
             }
             if !may_wait || tokio::time::Instant::now() >= until {
                 return None;
@@ -455,7 +475,7 @@
         }
     }
 
-    fn pick(&self, tried: &[ServerId]) -> Option<Choice> {
+    fn pick(&self, tried: &[ServerId], failure: f64) -> Option<Choice> {
         let shared = &self.shared;
         let now = shared.now();
         let catalog = shared.catalog.load();
@@ -466,7 +486,9 @@
         let crate::shared::Fleet { roster, rng, sizes, .. } = &mut *fleet;
         let ask = Ask {
             service,
+            target: self.route.target,
             zone: &shared.zone,
+            failure,
             bytes: sizes.get(&self.route.name).copied().unwrap_or(FIRST_SIZE),
             tried,
             limit: (connections / nodes).max(LEAST_CONNECTIONS),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -45,12 +45,29 @@
     /// The cost of a megabyte between data centres, in failed requests.
     #[serde(default)]
     pub zone_cost_mb: f64,
+    /// How often a sound server begins to fail, a second.
+    #[serde(default = "defaults::onset_per_s")]
+    pub onset_per_s: f64,
+    /// How often a failing server recovers, a second.
+    #[serde(default = "defaults::recovery_per_s")]
+    pub recovery_per_s: f64,
+    /// How strongly servers with a lower expected loss are preferred.
+    #[serde(default = "defaults::focus")]
+    pub focus: f64,
+    /// The loss of a request at a server whose slots are all busy, in failed requests.
+    #[serde(default = "defaults::even_cost")]
+    pub even_cost: f64,
+    /// The loss of a request whose answer is late, in failed requests.
+    #[serde(default = "defaults::late_cost")]
+    pub late_cost: f64,
     /// Which log lines are written.
     #[serde(default = "defaults::log_filter")]
     pub log_filter: String,
 }
 
 mod defaults {
+    use redwingtrestle_core::process::{belief::BeliefOptions, picker::PickerOptions};
+
     pub(super) fn entries_ttl_s() -> u64 {
         2
     }
@@ -71,6 +88,26 @@
         10
     }
 
+    pub(super) fn onset_per_s() -> f64 {
+        BeliefOptions::default().onset
+    }
+
+    pub(super) fn recovery_per_s() -> f64 {
+        BeliefOptions::default().recovery
+    }
+
+    pub(super) fn focus() -> f64 {
+        PickerOptions::default().focus
+    }
+
+    pub(super) fn even_cost() -> f64 {
+        PickerOptions::default().even
+    }
+
+    pub(super) fn late_cost() -> f64 {
+        PickerOptions::default().late
+    }
+
     pub(super) fn log_filter() -> String {
         crate::logs::DEFAULT_FILTER.into()
     }
@@ -126,6 +163,11 @@
             (!(0.0..=1.0).contains(&self.retry_ratio), "retry_ratio: must be between 0 and 1"),
             (self.retry_window_s == 0, "retry_window_s: must be at least 1"),
             (!(0.0..=1e6).contains(&self.zone_cost_mb), "zone_cost_mb: must not be negative"),
+            (!(1e-6..=10.0).contains(&self.onset_per_s), "onset_per_s: must be above 0, at most 10"),
+            (!(1e-6..=10.0).contains(&self.recovery_per_s), "recovery_per_s: must be above 0, at most 10"),
+            (!(0.0..=1e3).contains(&self.focus), "focus: must be between 0 and 1000"),
+            (!(0.0..=1e3).contains(&self.even_cost), "even_cost: must be between 0 and 1000"),
+            (!(0.0..=1e3).contains(&self.late_cost), "late_cost: must be between 0 and 1000"),
             (self.entry == self.peer, "peer: must differ from entry"),
         ];
         let wrong = checks.into_iter().filter(|(is_wrong, _)| *is_wrong);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,6 +6,7 @@
 use redwingtrestle_core::{
     ids::{DataCentre, ServiceName},
     process::{
+        belief::BeliefOptions,
         feed::Feed,
         mesh::{Mesh, MeshOptions, NodeState},
         picker::PickerOptions,
@@ -87,6 +88,10 @@
     pub urgent: Notify,
     /// Wakes the followers of the store, so that they read again at once.
     pub refresh: Notify,
+    /// Wakes the sender of this node's state after news from the store.
+    pub news: Notify,
+    /// Until when this node follows the store although others do, as it cannot learn from them.
+    pub alone: Mutex<Option<Timestamp>>,
     open: AtomicUsize,
     fleet: Mutex<Fleet>,
 }
@@ -95,10 +100,19 @@
     /// Makes the state of a process that knows nothing yet.
     pub fn new(settings: Settings, dialect: Dialect) -> Self {
         let zone = DataCentre::from(settings.data_centre.as_str());
-        let picker =
-            PickerOptions { zone_mb: settings.zone_cost_mb, ..PickerOptions::default() };
+        let picker = PickerOptions {
+            focus: settings.focus,
+            even: settings.even_cost,
+            late: settings.late_cost,
+            zone_mb: settings.zone_cost_mb,
+        };
+        let belief = BeliefOptions {
+            onset: settings.onset_per_s,
+            recovery: settings.recovery_per_s,
+            ..BeliefOptions::default()
+        };
         let fleet = Fleet {
-            roster: Roster::new(RosterOptions::default()),
+            roster: Roster::new(RosterOptions { belief, ..RosterOptions::default() }),
             mesh: Mesh::new(MeshOptions::default(), settings.peer, zone.clone()),
             budgets: HashMap::new(),
             servers: Feed::default(),
@@ -118,6 +132,8 @@
             changed: Notify::new(),
             urgent: Notify::new(),
             refresh: Notify::new(),
+            news: Notify::new(),
+            alone: Mutex::new(None),
             open: AtomicUsize::new(0),
             fleet: Mutex::new(fleet),
             settings,
@@ -147,6 +163,18 @@
         }
     }
 
+    /// Returns whether this node follows the store itself.
+    pub fn is_reader(&self) -> bool {
+        let now = self.now();
+        let alone = *self.alone.lock().unwrap_or_else(PoisonError::into_inner);
+        alone.is_some_and(|until| now < until) || self.fleet().mesh.is_reader(now)
+    }
+
+    /// Makes this node follow the store itself for a while.
+    pub fn read_alone(&self, time: Span) {
+        *self.alone.lock().unwrap_or_else(PoisonError::into_inner) = Some(self.now() + time);
+    }
+
     /// Puts a configuration in force if it is newer than the one that is, and returns whether it was.
     pub fn install(&self, doc: &CatalogDoc, source: &str) -> bool {
         let known = self.catalog.load().as_ref().map_or(0, |c| c.version());
@@ -218,9 +246,10 @@
                 percent: (settings.retry_ratio * RATIO_USED * 100.0) as u64,
                 window: Span::from_secs(settings.retry_window_s),
                 floor: 0,
+                extra: 0,
             })
         });
-        budget.set_floor((settings.retry_floor as f64 * RATIO_USED) as u64 / nodes);
+        budget.set_extra((settings.retry_floor as f64 * RATIO_USED) as u64 / nodes);
         run(budget)
     }
 
