Keep the declared share of servers in use, and failing servers in the store

Nothing kept suspected servers in use. Processes that start now recall which servers fail, as 33 requests failed in the two seconds after the closing fault.

--- a/crates/core/src/process/belief.rs
+++ b/crates/core/src/process/belief.rs
@@ -1,6 +1,6 @@
 //! The probability that a backend server is in a failing phase.
 
-use crate::time::{Span, Timestamp};
+use crate::time::Timestamp;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter, IntoStaticStr};
 
@@ -44,7 +44,7 @@
 
 impl Default for BeliefOptions {
     fn default() -> Self {
-        BeliefOptions { onset: 0.05, recovery: 0.15, fail_failing: 0.75, fail_sound: 0.015 }
+        BeliefOptions { onset: 0.033, recovery: 0.1, fail_failing: 0.75, fail_sound: 0.015 }
     }
 }
 
@@ -73,6 +73,11 @@
         Belief { failing: 0.05, at: now }
     }
 
+    /// Returns a belief that was formed at `at` and kept elsewhere.
+    pub fn recalled(failing: f64, at: Timestamp) -> Self {
+        Belief { failing: failing.clamp(MIN_FAILING, MAX_FAILING), at }
+    }
+
     /// Returns the probability at `now` that the server is failing.
     pub fn failing(&self, options: &BeliefOptions, now: Timestamp) -> f64 {
         let rate = options.onset + options.recovery;
@@ -97,9 +102,4 @@
         self.failing = (odds / (1.0 + odds)).clamp(MIN_FAILING, MAX_FAILING);
         self.at = now;
     }
-
-    /// Returns how long ago the belief last changed by a signal.
-    pub fn age(&self, now: Timestamp) -> Span {
-        now.since(self.at)
-    }
 }
--- a/crates/core/src/process/mesh.rs
+++ b/crates/core/src/process/mesh.rs
@@ -224,11 +224,20 @@
     /// Returns whether this node follows the store itself, as one of the first of its data centre that the store
     /// answers. The others learn from these, because each call to the store is paid for.
     pub fn is_reader(&self, now: Timestamp) -> bool {
-        let before = |addr: &SocketAddr, h: &Hello| {
-            h.zone == self.zone && h.follows && h.state != NodeState::Stopping && *addr < self.own
+        self.before(now).filter(|h| h.zone == self.zone).count() < self.options.readers
+    }
+
+    /// Returns whether this node writes for the whole fleet to the store: the first one that the store answers.
+    pub fn is_writer(&self, now: Timestamp) -> bool {
+        self.before(now).next().is_none()
+    }
+
+    /// Returns the nodes that come before this one where the first is chosen.
+    fn before(&self, now: Timestamp) -> impl Iterator<Item = &Hello> {
+        let is_before = |addr: SocketAddr, h: &Hello| {
+            h.follows && h.state != NodeState::Stopping && addr < self.own
         };
-        let ahead = self.alive(now).filter(|(addr, h)| before(addr, h)).count();
-        ahead < self.options.readers
+        self.alive(now).filter(move |(addr, h)| is_before(*addr, h)).map(|(_, h)| h)
     }
 
     /// Returns a node that knows a newer configuration or newer registrations.
--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -19,11 +19,13 @@
     pub late: f64,
     /// The loss of a megabyte between data centres.
     pub zone_mb: f64,
+    /// The share of a service's servers that stay in use, however they look.
+    pub floor: f64,
 }
 
 impl Default for PickerOptions {
     fn default() -> Self {
-        PickerOptions { focus: 16.0, even: 0.05, late: 1.0, zone_mb: 0.0 }
+        PickerOptions { focus: 30.0, even: 0.1, late: 1.0, zone_mb: 0.0, floor: 0.7 }
     }
 }
 
@@ -37,6 +39,9 @@
 /// The share of answers whose time is taken for that of a server with free slots.
 const UNLOADED: f64 = 0.25;
 
+/// How long ago the last request to a server may be while the server counts as in use.
+const IN_USE: Span = Span::from_millis(1_300);
+
 /// `Ask` describes the request that needs a server.
 #[derive(Clone, Debug)]
 pub struct Ask<'a> {
@@ -54,6 +59,8 @@
     pub tried: &'a [ServerId],
     /// The most requests of this node in flight at one server.
     pub limit: u32,
+    /// The nodes of the fleet.
+    pub nodes: usize,
 }
 
 /// `Choice` is the chosen server and what decided.
@@ -122,6 +129,9 @@
         .filter(|m| !ask.tried.contains(&m.entry().id) && m.in_flight() < ask.limit)
         .map(|m| (*m, loss(options, roster, now, m, ask, work)))
         .collect();
+    if let Some(member) = below_floor(options, now, &usable, &open, ask, rng) {
+        return Some(choice(options, roster, now, member, ask, work, open.len()));
+    }
     let least = open.iter().map(|(_, loss)| loss.all).min_by(f64::total_cmp)?;
     let weights: Vec<f64> =
         open.iter().map(|(_, loss)| (-options.focus * (loss.all - least)).exp()).collect();
@@ -130,13 +140,47 @@
         point -= w;
         point < 0.0
     });
-    let (member, loss) = open[index.unwrap_or(open.len() - 1)];
-    Some(Choice {
+    let (member, _) = open[index.unwrap_or(open.len() - 1)];
+    Some(choice(options, roster, now, member, ask, work, open.len()))
+}
+
+/// Returns a server that has to be used because too few of the service are, the one with the least expected loss.
+///
+/// A service whose servers mostly look bad would otherwise lose the capacity of those that only look so. All nodes see
+/// the lack at the same time, so each acts on it once in as many choices as there are nodes, and only for servers of
+/// its own data centre.
+fn below_floor<'a>(
+    options: &PickerOptions,
+    now: Timestamp,
+    usable: &[&Member],
+    open: &[(&'a Member, Loss)],
+    ask: &Ask<'_>,
+    rng: &mut impl Rng,
+) -> Option<&'a Member> {
+    let used = usable.iter().filter(|m| m.is_used(now, IN_USE)).count();
+    let least = (usable.len() as f64 * options.floor).ceil() as usize;
+    if used >= least || rng.random_range(0..ask.nodes.max(1)) > 0 {
+        return None;
+    }
+    let unused = open.iter().filter(|(m, _)| !m.is_used(now, IN_USE) && m.entry().zone == *ask.zone);
+    unused.min_by(|(_, a), (_, b)| a.all.total_cmp(&b.all)).map(|(m, _)| *m)
+}
+
+fn choice(
+    options: &PickerOptions,
+    roster: &Roster,
+    now: Timestamp,
+    member: &Member,
+    ask: &Ask<'_>,
+    work: Span,
+    among: usize,
+) -> Choice {
+    Choice {
         id: member.entry().id.clone(),
         addr: member.entry().addr,
         failure: member.failure(&roster.options().belief, now),
         load: member.load(roster.options(), now),
-        late: loss.late,
-        among: open.len(),
-    })
+        late: loss(options, roster, now, member, ask, work).late,
+        among,
+    }
 }
--- a/crates/core/src/process/roster.rs
+++ b/crates/core/src/process/roster.rs
@@ -115,6 +115,9 @@
     Ended,
 }
 
+/// The probability from which on a server counts as probably failing.
+const SUSPECT: f64 = 0.3;
+
 /// `Member` is one server with what is known and believed of it.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -126,6 +129,8 @@
     shared: Belief,
     path: Belief,
     failed: Option<Timestamp>,
+    is_seen: bool,
+    used: Option<Timestamp>,
     in_flight: u32,
     others: BTreeMap<u64, (u32, Timestamp)>,
     counts: Counts,
@@ -221,9 +226,9 @@
         }
     }
 
-    /// Returns the age of the newest signal.
-    pub fn age(&self, now: Timestamp) -> Span {
-        self.shared.age(now)
+    /// Returns whether any node is known to have sent a request there within `window`.
+    pub fn is_used(&self, now: Timestamp, window: Span) -> bool {
+        self.used.is_some_and(|used| now.since(used) < window)
     }
 }
 
@@ -239,6 +244,7 @@
     by_tag: HashMap<u32, ServerId>,
     latencies: HashMap<ServiceName, Latency>,
     touched: Vec<ServerId>,
+    recalled: HashMap<ServerId, Belief>,
     store_away: Option<Timestamp>,
     forgotten: u64,
 }
@@ -253,6 +259,7 @@
             by_tag: HashMap::new(),
             latencies: HashMap::new(),
             touched: Vec::new(),
+            recalled: HashMap::new(),
             store_away: None,
             forgotten: 0,
         }
@@ -392,9 +399,11 @@
             presence: presence(entry.state),
             since: now,
             warm: now + entry.warmup,
-            shared: Belief::new(now),
+            shared: self.recalled.remove(&id).unwrap_or_else(|| Belief::new(now)),
             path: Belief::new(now),
             failed: None,
+            is_seen: false,
+            used: None,
             in_flight: 0,
             others: BTreeMap::new(),
             counts: Counts::default(),
@@ -452,9 +461,10 @@
     }
 
     /// Counts a request that is sent to a server.
-    pub fn sent(&mut self, id: &ServerId) {
+    pub fn sent(&mut self, now: Timestamp, id: &ServerId) {
         if let Some(member) = self.members.get_mut(id) {
             member.in_flight += 1;
+            member.used = Some(now);
             touch(&mut self.touched, id);
         }
     }
@@ -482,6 +492,7 @@
         } else {
             member.fail(now);
         }
+        member.is_seen = true;
         let options = &self.options.belief;
         member.shared.observe(options, now, signal, 1.0);
         member.path.observe(options, now, signal, 1.0);
@@ -493,6 +504,7 @@
     pub fn hear(&mut self, now: Timestamp, from: u64, report: &ServerReport) {
         let Some(id) = self.by_tag.get(&report.tag) else { return };
         let Some(member) = self.members.get_mut(id) else { return };
+        member.used = Some(now);
         member.others.insert(from, (report.in_flight, now));
         let age = self.options.report_age;
         member.others.retain(|_, (count, at)| *count > 0 && now.since(*at) <= age);
@@ -500,6 +512,7 @@
             if count > 0 && signal != Signal::Success {
                 member.fail(now);
             }
+            member.is_seen |= count > 0;
             let share = if signal.is_path() { FOREIGN_PATH_SHARE } else { 1.0 };
             for _ in 0..count {
                 member.shared.observe(&self.options.belief, now, signal, share);
@@ -507,6 +520,29 @@
         }
     }
 
+    /// Returns the servers that are probably failing, with the probability.
+    pub fn suspects(&self, now: Timestamp) -> Vec<(ServerId, f64)> {
+        let options = &self.options.belief;
+        let members = self.members.iter().filter(|(_, m)| m.presence == Presence::Ready);
+        let beliefs = members.map(|(id, m)| (id.clone(), m.shared.failing(options, now)));
+        beliefs.filter(|(_, failing)| *failing >= SUSPECT).collect()
+    }
+
+    /// Takes what an earlier process believed at `at`. A server that has shown something since is left as it is, and
+    /// one that is not known yet gets the belief when it is.
+    pub fn recall(&mut self, at: Timestamp, suspects: Vec<(ServerId, f64)>) {
+        for (id, failing) in suspects {
+            let belief = Belief::recalled(failing, at);
+            match self.members.get_mut(&id) {
+                Some(member) if !member.is_seen => member.shared = belief,
+                Some(_) => {}
+                None => {
+                    self.recalled.insert(id, belief);
+                }
+            }
+        }
+    }
+
     /// Takes the reports on all servers that were used since the last call.
     pub fn take_reports(&mut self) -> Vec<ServerReport> {
         let mut reports = Vec::with_capacity(self.touched.len());
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -91,7 +91,7 @@
 
 impl Flight {
     fn begin(shared: &Arc<Shared>, id: &ServerId, attempt: &Arc<str>) -> Self {
-        shared.fleet().roster.sent(id);
+        shared.fleet().roster.sent(shared.now(), id);
         Flight {
             shared: shared.clone(),
             id: id.clone(),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -20,14 +20,11 @@
 /// How often a node that does not follow the store looks whether it has to.
 const TURN_CHECK: Duration = Duration::from_millis(200);
 
-/// How often a node looks whether it hears others, and whether it should be found in the store.
-const NODES_CHECK: Duration = Duration::from_secs(2);
-
 /// Returns the feed of a stream.
 fn feed(fleet: &mut Fleet, stream: Stream) -> &mut Feed {
     match stream {
         Stream::Configuration => &mut fleet.configuration,
-        Stream::Servers | Stream::Nodes => &mut fleet.servers,
+        Stream::Servers => &mut fleet.servers,
     }
 }
 
@@ -86,7 +83,7 @@
             let Fleet { servers, configuration, rng, .. } = &mut *fleet;
             return Some(match stream {
                 Stream::Configuration => configuration.failed(rng),
-                Stream::Servers | Stream::Nodes => servers.failed(rng),
+                Stream::Servers => servers.failed(rng),
             });
         }
     } else {
@@ -107,7 +104,7 @@
             Record::Server(id, entry) => {
                 shared.register(&id, position, entry.map(|e| *e), source);
             }
-            Record::Node(_) | Record::Unreadable => {}
+            Record::Unreadable => {}
         }
     }
     if stream == Stream::Servers && step == Step::Newest {
@@ -130,7 +127,7 @@
     let Fleet { servers, configuration, rng, .. } = &mut *fleet;
     let feed = match stream {
         Stream::Configuration => configuration,
-        Stream::Servers | Stream::Nodes => servers,
+        Stream::Servers => servers,
     };
     let is_first = !feed.is_away();
     let pause = feed.failed(rng);
@@ -145,38 +142,3 @@
     }
     Some(pause)
 }
-
-/// Announces this node and learns of others until the process ends.
-///
-/// Nodes find each other by the addresses in their settings. The store is for those that hear nobody by them, so only
-/// the nodes that follow the store are announced there.
-pub async fn nodes<S: Store>(shared: Arc<Shared>, store: S) {
-    let mut is_announced = false;
-    loop {
-        tokio::time::sleep(NODES_CHECK).await;
-        let is_lonely = shared.fleet().mesh.size(shared.now()) == 1;
-        if !is_announced && shared.is_reader() {
-            match store.announce(shared.settings.peer).await {
-                Ok(()) => is_announced = true,
-                Err(e) => log::warn!(target: "store", stream:% = Stream::Nodes; "cannot announce this node: {e}"),
-            }
-        }
-        if !is_lonely {
-            continue;
-        }
-        match store.newest(Stream::Nodes).await {
-            Ok(batch) => {
-                let now = shared.now();
-                let mut fleet = shared.fleet();
-                for (_, record) in batch.records {
-                    if let Record::Node(addr) = record {
-                        fleet.mesh.named(now, addr);
-                    }
-                }
-            }
-            Err(e) => {
-                log::warn!(target: "store", stream:% = Stream::Nodes; "cannot read the nodes: {e}");
-            }
-        }
-    }
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,7 @@
     clock::duration,
     dialect::Dialect,
     error::{Error, Result},
-    exchange, follow, logs,
+    exchange, follow, logs, memory,
     peers::Peers,
     settings::Settings,
     shared::Shared,
@@ -68,7 +68,7 @@
     for stream in [Stream::Configuration, Stream::Servers] {
         tokio::spawn(follow::follow(shared.clone(), store.clone(), stream));
     }
-    tokio::spawn(follow::nodes(shared.clone(), store));
+    tokio::spawn(memory::run(shared.clone(), store));
     tokio::spawn(Peers::new(shared, socket).run());
     Ok(())
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod follow;
 pub mod gateway;
 pub mod logs;
+pub mod memory;
 pub mod peers;
 pub mod pool;
 pub mod reply;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -45,6 +45,9 @@
     /// The cost of a megabyte between data centres, in failed requests.
     #[serde(default)]
     pub zone_cost_mb: f64,
+    /// The share of a service's servers that stay in use, however they look.
+    #[serde(default = "defaults::floor_share")]
+    pub floor_share: f64,
     /// How often a sound server begins to fail, a second.
     #[serde(default = "defaults::onset_per_s")]
     pub onset_per_s: f64,
@@ -88,6 +91,10 @@
         10
     }
 
+    pub(super) fn floor_share() -> f64 {
+        PickerOptions::default().floor
+    }
+
     pub(super) fn onset_per_s() -> f64 {
         BeliefOptions::default().onset
     }
@@ -163,6 +170,7 @@
             (!(0.0..=1.0).contains(&self.retry_ratio), "retry_ratio: must be between 0 and 1"),
             (self.retry_window_s == 0, "retry_window_s: must be at least 1"),
             (!(0.0..=1e6).contains(&self.zone_cost_mb), "zone_cost_mb: must not be negative"),
+            (!(0.0..=1.0).contains(&self.floor_share), "floor_share: must be between 0 and 1"),
             (!(1e-6..=10.0).contains(&self.onset_per_s), "onset_per_s: must be above 0, at most 10"),
             (!(1e-6..=10.0).contains(&self.recovery_per_s), "recovery_per_s: must be above 0, at most 10"),
             (!(0.0..=1e3).contains(&self.focus), "focus: must be between 0 and 1000"),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -105,6 +105,7 @@
             even: settings.even_cost,
             late: settings.late_cost,
             zone_mb: settings.zone_cost_mb,
+            floor: settings.floor_share,
         };
         let belief = BeliefOptions {
             onset: settings.onset_per_s,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -5,7 +5,7 @@
     version::catalog::CatalogDoc,
 };
 use snafu::Snafu;
-use std::{future::Future, net::SocketAddr, time::Duration};
+use std::{future::Future, time::Duration};
 use strum::{Display, IntoStaticStr};
 
 /// `Stream` names what is followed in the store.
@@ -16,8 +16,6 @@
     Configuration,
     /// The registrations of backend servers.
     Servers,
-    /// The addresses of nodes, which find each other there.
-    Nodes,
 }
 
 /// `Record` is one decoded record.
@@ -27,8 +25,6 @@
     Catalog(Box<CatalogDoc>),
     /// A registration; none if it ended or names no usable server.
     Server(ServerId, Option<Box<ServerEntry>>),
-    /// The peer address of a node.
-    Node(SocketAddr),
     /// A record that cannot be read, which the adapter has logged.
     Unreadable,
 }
@@ -84,6 +80,13 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Batch, StoreError>> + Send;
 
-    /// Writes where this node listens for its peers.
-    fn announce(&self, peer: SocketAddr) -> impl Future<Output = Result<(), StoreError>> + Send;
+    /// Reads what gateways have saved, by key.
+    fn saved(&self) -> impl Future<Output = Result<Vec<(String, Vec<u8>)>, StoreError>> + Send;
+
+    /// Saves a value for gateways that start later.
+    fn save(
+        &self,
+        key: &str,
+        value: &[u8],
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
