--- a/crates/core/src/process/belief.rs
+++ b/crates/core/src/process/belief.rs
@@ -6,7 +6,17 @@
 
 /// `Signal` is what one use of a backend server showed.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumIter, IntoStaticStr, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Display,
+    EnumIter,
+    IntoStaticStr,
+    Serialize,
+    Deserialize,
 )]
 #[strum(serialize_all = "snake_case")]
 pub enum Signal {
--- a/crates/core/src/process/mesh.rs
+++ b/crates/core/src/process/mesh.rs
@@ -177,13 +177,18 @@
     }
 
     /// Returns where a report goes: the nodes of the own data centre, and one node of each other that passes it on.
-    pub fn report_targets(&self, now: Timestamp, rng: &mut impl Rng) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    pub fn report_targets(
+        &self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let near = self.near(now, rng);
         let mut zones: HashMap<&DataCentre, Vec<SocketAddr>> = HashMap::new();
         for (addr, hello) in self.alive(now).filter(|(_, h)| h.zone != self.zone) {
             zones.entry(&hello.zone).or_default().push(addr);
         }
-        let relays = zones.into_values().filter_map(|addrs| addrs.into_iter().choose(rng)).collect();
+        let relays =
+            zones.into_values().filter_map(|addrs| addrs.into_iter().choose(rng)).collect();
         (near, relays)
     }
 
--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -40,7 +40,7 @@
 const UNLOADED: f64 = 0.25;
 
 /// How long ago the last request to a server may be while the server counts as in use.
-const IN_USE: Span = Span::from_millis(1_300);
+const IN_USE: Span = Span::from_millis(1_500);
 
 /// `Ask` describes the request that needs a server.
 #[derive(Clone, Debug)]
@@ -162,7 +162,8 @@
     if used >= least || rng.random_range(0..ask.nodes.max(1)) > 0 {
         return None;
     }
-    let unused = open.iter().filter(|(m, _)| !m.is_used(now, IN_USE) && m.entry().zone == *ask.zone);
+    let unused =
+        open.iter().filter(|(m, _)| !m.is_used(now, IN_USE) && m.entry().zone == *ask.zone);
     unused.min_by(|(_, a), (_, b)| a.all.total_cmp(&b.all)).map(|(m, _)| *m)
 }
 
--- /dev/null
+++ b/crates/core/tests/catalog.rs
@@ -0,0 +1,98 @@
+//! Routes of the gateway's configuration and their weighted splits.
+
+use quickcheck::{Gen, QuickCheck};
+use redwingtrestle_core::{
+    cases,
+    ids::ServiceName,
+    time::Span,
+    version::catalog::{CallerLimits, Catalog, CatalogDoc, HostRoute, Part, Repeat},
+};
+use std::{collections::HashMap, sync::Arc};
+
+fn route(name: &str, host: &str, prefix: &str, weights: &[(&str, u32)]) -> HostRoute {
+    let part =
+        |(service, weight): &(&str, u32)| Part { service: (*service).into(), weight: *weight };
+    HostRoute {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Idempotent,
+        timeout: Span::from_secs(3),
+        target: Span::from_secs(1),
+        priority: 0,
+        parts: weights.iter().map(part).collect(),
+        attempts: 2,
+    }
+}
+
+fn found((host, path): (&str, &str)) -> Option<Arc<str>> {
+    let routes = vec![
+        route("root", "a.example", "/", &[("s", 1)]),
+        route("long", "a.example", "/docs/maps/", &[("s", 1)]),
+        route("short", "a.example", "/docs/", &[("s", 1)]),
+        route("other", "b.example", "/docs/", &[("s", 1)]),
+    ];
+    let services = HashMap::new();
+    let doc = CatalogDoc { version: 1, routes, services, limits: CallerLimits::default() };
+    Catalog::new(doc).find(host, path).map(|r| r.name.clone())
+}
+
+cases! {
+    found;
+    /// Guards against a shorter prefix that hides a longer one.
+    longest_prefix: ("a.example", "/docs/maps/7") => Some("long".into()),
+    /// Guards against a prefix that matches within a segment.
+    segment_is_whole: ("a.example", "/docs/mapsheet") => Some("short".into()),
+    /// Guards against a prefix that matches a path without its last slash.
+    slash_is_needed: ("b.example", "/docs") => None,
+    /// Guards against routes of another host.
+    host_decides: ("b.example", "/docs/maps/7") => Some("other".into()),
+    /// Guards against a caller that names the port or writes the host in capitals.
+    port_and_case: ("A.Example:8080", "/x") => Some("root".into()),
+    unknown_host: ("c.example", "/docs/") => None,
+    /// Guards against a path without any slash, which must not be sliced.
+    star: ("a.example", "*") => None,
+}
+
+fn drawn((weights, draw): (&[(&str, u32)], u32)) -> Option<ServiceName> {
+    route("r", "h", "/", weights).service(draw).cloned()
+}
+
+cases! {
+    drawn;
+    first_of_even_halves: (&[("a", 50), ("b", 50)], 0) => Some("a".into()),
+    last_of_even_halves: (&[("a", 50), ("b", 50)], u32::MAX) => Some("b".into()),
+    /// Guards against work for a part of weight zero.
+    zero_gets_nothing: (&[("a", 0), ("b", 1)], 0) => Some("b".into()),
+    /// Guards against a route that loses all its work because its weights are zero.
+    all_zero: (&[("a", 0), ("b", 0)], 7) => Some("a".into()),
+    /// Guards against an index out of range for a route without services.
+    no_part: (&[], 7) => None,
+}
+
+/// Guards against shares that stray from their weights.
+#[test]
+fn shares_follow_the_weights() {
+    fn check(weights: (u8, u8, u8)) -> bool {
+        let weights =
+            [("a", u32::from(weights.0)), ("b", u32::from(weights.1)), ("c", u32::from(weights.2))];
+        let total: u32 = weights.iter().map(|(_, w)| w).sum();
+        if total == 0 {
+            return true;
+        }
+        let route = route("r", "h", "/", &weights);
+        let mut counts: HashMap<ServiceName, u32> = HashMap::new();
+        let draws = 4_096u32;
+        for i in 0..draws {
+            let service = route.service(i << 20).cloned().expect("a service");
+            *counts.entry(service).or_default() += 1;
+        }
+        weights.iter().all(|(name, weight)| {
+            let share = f64::from(counts.get(&ServiceName::from(*name)).copied().unwrap_or(0))
+                / f64::from(draws);
+            (share - f64::from(*weight) / f64::from(total)).abs() < 0.002
+        })
+    }
+    let gen = Gen::from_size_and_seed(100, 0x6361_7461);
+    QuickCheck::new().rng(gen).tests(200).quickcheck(check as fn((u8, u8, u8)) -> bool);
+}
--- /dev/null
+++ b/crates/core/tests/mesh.rs
@@ -0,0 +1,114 @@
+//! The other nodes of the fleet as one node hears them.
+
+use rand::{rngs::StdRng, SeedableRng};
+use redwingtrestle_core::{
+    process::mesh::{Hello, Mesh, MeshOptions, NodeState},
+    time::{Span, Timestamp},
+};
+use std::net::SocketAddr;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::ZERO + Span::from_millis(100_000 + millis)
+}
+
+fn addr(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 7_000).into()
+}
+
+fn hello(number: u8, zone: &str, state: NodeState) -> Hello {
+    let entry = ([10, 0, 0, number], 8_000).into();
+    Hello { start: 1, entry, zone: zone.into(), state, version: 3, servers: 9, follows: true }
+}
+
+/// Returns the mesh of node 5 in zone a, which heard nodes 1 to 4 in a and 6 to 9 in b.
+fn mesh() -> Mesh {
+    let mut mesh = Mesh::new(MeshOptions::default(), addr(5), "a".into());
+    for number in [1, 2, 3, 4, 6, 7, 8, 9] {
+        let zone = if number < 5 { "a" } else { "b" };
+        mesh.heard(at(0), addr(number), hello(number, zone, NodeState::Ready));
+    }
+    mesh
+}
+
+fn entries(mesh: &Mesh, now: Timestamp, zone: &str) -> Vec<u8> {
+    let own = Some(([10, 0, 0, 5], 8_000).into());
+    let found = mesh.entries(now, zone, own, 64);
+    found.iter().filter_map(|entry| entry.to_string()[7..8].parse().ok()).collect()
+}
+
+/// Guards against answers that send callers to another data centre although entries near them serve.
+#[test]
+fn callers_get_entries_of_their_data_centre() {
+    let mesh = mesh();
+    assert_eq!(entries(&mesh, at(100), "a"), [1, 2, 3, 4, 5]);
+    assert_eq!(entries(&mesh, at(100), "b"), [6, 7, 8, 9]);
+    assert_eq!(entries(&mesh, at(100), "unknown").len(), 9);
+}
+
+/// Guards against entries that stop, that are silent, or that are the only one of their data centre.
+#[test]
+fn leaving_and_silent_nodes_are_not_named() {
+    let mut mesh = mesh();
+    for number in 1..4 {
+        mesh.heard(at(50), addr(number), hello(number, "a", NodeState::Stopping));
+    }
+    mesh.heard(at(950), addr(4), hello(4, "a", NodeState::Ready));
+    assert_eq!(entries(&mesh, at(1_000), "a"), [4, 5]);
+    mesh.heard(at(1_000), addr(4), hello(4, "a", NodeState::Stopping));
+    assert_eq!(entries(&mesh, at(1_000), "a"), [5, 6, 7, 8, 9]);
+    assert_eq!(entries(&mesh, at(5_000), "a"), [5]);
+}
+
+/// Guards against a data centre in which no node, or every node, follows the store.
+#[test]
+fn two_nodes_of_a_data_centre_follow_the_store() {
+    let mut mesh = mesh();
+    assert!(!mesh.is_reader(at(100)));
+    assert!(!mesh.is_writer(at(100)));
+    for number in [1, 2, 3] {
+        let hello = Hello { follows: false, ..hello(number, "a", NodeState::Ready) };
+        mesh.heard(at(100), addr(number), hello);
+    }
+    assert!(mesh.is_reader(at(200)), "only node 4 comes before");
+    assert!(mesh.is_reader(at(9_000)), "nobody is heard");
+    assert!(mesh.is_writer(at(9_000)));
+}
+
+/// Guards against a node that asks one that knows no more than itself.
+#[test]
+fn newest_node_is_asked() {
+    let mut mesh = mesh();
+    assert_eq!(mesh.newer(at(100), 3, 9), None);
+    mesh.heard(at(100), addr(8), Hello { servers: 10, ..hello(8, "b", NodeState::Ready) });
+    assert_eq!(mesh.newer(at(100), 3, 9), Some(addr(8)));
+    mesh.heard(at(100), addr(2), Hello { servers: 10, ..hello(2, "a", NodeState::Ready) });
+    assert_eq!(mesh.newer(at(100), 3, 9), Some(addr(2)), "the near one");
+    mesh.heard(at(100), addr(9), Hello { version: 4, ..hello(9, "b", NodeState::Ready) });
+    assert_eq!(mesh.newer(at(100), 3, 9), Some(addr(9)));
+    assert_eq!(mesh.newer(at(5_000), 0, 0), None, "silent nodes are not asked");
+}
+
+/// Guards against a restarted node that is taken for the one before, and so is not told who is there.
+#[test]
+fn new_start_counts_as_new() {
+    let mut mesh = mesh();
+    assert!(!mesh.heard(at(100), addr(1), hello(1, "a", NodeState::Ready)));
+    assert!(mesh.heard(at(200), addr(1), Hello { start: 2, ..hello(1, "a", NodeState::Ready) }));
+    assert!(!mesh.heard(at(200), addr(5), hello(5, "a", NodeState::Ready)), "its own message");
+}
+
+/// Guards against traffic between data centres that grows with the fleet.
+#[test]
+fn messages_to_other_data_centres_are_bounded() {
+    let mut mesh = Mesh::new(MeshOptions::default(), addr(255), "a".into());
+    for number in 1..=100 {
+        let zone = if number <= 50 { "a" } else { "b" };
+        mesh.heard(at(0), addr(number), hello(number, zone, NodeState::Ready));
+    }
+    let mut rng = StdRng::seed_from_u64(3);
+    let due = mesh.due(at(10), &mut rng);
+    let options = MeshOptions::default();
+    assert_eq!(due.len(), options.fan_near + options.fan_far);
+    let (near, relays) = mesh.report_targets(at(10), &mut rng);
+    assert_eq!((near.len(), relays.len()), (options.fan_near, 1));
+}
--- /dev/null
+++ b/crates/core/tests/roster.rs
@@ -0,0 +1,350 @@
+//! Registered servers: their records, what is believed of them, and the choice among them.
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use rand::{rngs::StdRng, SeedableRng};
+use redwingtrestle_core::{
+    cases,
+    ids::{DataCentre, ServiceName},
+    process::{
+        belief::{Belief, BeliefOptions, Signal},
+        picker::{pick, Ask, PickerOptions},
+        roster::{
+            Change, Counts, EntryState, Roster, RosterOptions, ServerEntry, ServerId, ServerReport,
+        },
+    },
+    time::{Span, Timestamp},
+};
+use std::collections::HashMap;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::ZERO + Span::from_secs(3_600) + Span::from_millis(millis)
+}
+
+fn id(number: u8) -> ServerId {
+    ServerId(format!("i-{number}").into())
+}
+
+fn entry(number: u8, state: EntryState, started: u64, report: u64) -> ServerEntry {
+    ServerEntry {
+        id: id(number),
+        addr: ([10, 0, 0, number], 80).into(),
+        service: "orders".into(),
+        zone: if number % 2 == 0 { "a" } else { "b" }.into(),
+        slots: 6,
+        state,
+        warmup: Span::ZERO,
+        started,
+        report,
+    }
+}
+
+fn ready(number: u8) -> ServerEntry {
+    entry(number, EntryState::Ready, 1, 1)
+}
+
+fn roster(count: u8) -> Roster {
+    let mut roster = Roster::new(RosterOptions::default());
+    for number in 0..count {
+        roster.record(at(0), &id(number), u64::from(number), Some(ready(number)));
+    }
+    roster
+}
+
+fn usable(roster: &Roster, now: Timestamp) -> usize {
+    roster.usable(now, &ServiceName::from("orders")).len()
+}
+
+/// Applies records of server 0 after a first one of start 5, report 5, and returns what the last one changed.
+fn last_change(records: &[(u64, Option<(EntryState, u64, u64)>)]) -> (Change, usize) {
+    let mut roster = Roster::new(RosterOptions::default());
+    roster.record(at(0), &id(0), 10, Some(entry(0, EntryState::Ready, 5, 5)));
+    let mut change = Change::Nothing;
+    for (position, record) in records {
+        let entry = record.map(|(state, started, report)| entry(0, state, started, report));
+        change = roster.record(at(1), &id(0), *position, entry);
+    }
+    (change, usable(&roster, at(5_000)))
+}
+
+const READY: EntryState = EntryState::Ready;
+const DRAINING: EntryState = EntryState::Draining;
+
+cases! {
+    last_change;
+    drains: &[(11, Some((DRAINING, 5, 6)))] => (Change::Draining, 0),
+    /// Guards against a draining server that a delayed report brings back.
+    late_report_does_not_undo_drain: &[(11, Some((DRAINING, 5, 7))), (12, Some((READY, 5, 6)))] => (Change::Nothing, 0),
+    /// Guards against a report of an earlier start that arrives late.
+    earlier_start_is_ignored: &[(11, Some((DRAINING, 6, 1))), (12, Some((READY, 5, 9)))] => (Change::Nothing, 0),
+    /// Guards against a server that starts again under its id and stays out because its counts start anew.
+    new_start_joins: &[(11, Some((DRAINING, 5, 9))), (12, Some((READY, 6, 1)))] => (Change::Joined, 1),
+    /// Guards against a record that another node has already passed on.
+    repeated_position: &[(11, Some((DRAINING, 5, 6))), (11, Some((READY, 5, 7)))] => (Change::Nothing, 0),
+    ends: &[(11, None)] => (Change::Ended, 0),
+    /// Guards against an entry that lapsed and is registered again with the next report.
+    lapsed_entry_returns: &[(11, None), (12, Some((READY, 5, 6)))] => (Change::Returned, 1),
+    end_before_the_entry: &[(9, None)] => (Change::Nothing, 1),
+}
+
+/// Guards against servers that a snapshot no longer lists, and against ones that joined after it.
+#[test]
+fn snapshot_ends_what_it_lacks() {
+    let mut roster = roster(4);
+    roster.record(at(1), &id(9), 20, Some(ready(9)));
+    let records = vec![(ready(0), 0), (entry(1, DRAINING, 1, 2), 7)];
+    let changes: HashMap<ServerId, Change> =
+        roster.snapshot(at(10), 15, records).into_iter().collect();
+    let expected = [(id(1), Change::Draining), (id(2), Change::Ended), (id(3), Change::Ended)]
+        .into_iter()
+        .collect();
+    assert_eq!(changes, expected);
+    assert_eq!(usable(&roster, at(5_000)), 2);
+}
+
+/// Guards against a service that loses all its servers because their entries lapsed while the store was away, and
+/// against servers that stay in use although they did not return.
+#[test]
+fn lapsed_servers_stay_for_a_short_time() {
+    let mut roster = roster(3);
+    roster.store_away(at(100));
+    roster.record(at(200), &id(0), 10, None);
+    assert_eq!(usable(&roster, at(300)), 3);
+    assert_eq!(usable(&roster, at(2_500)), 2);
+}
+
+/// Guards against a server that left for good and is used on while the store is well.
+#[test]
+fn ended_server_is_left_at_once() {
+    let mut roster = roster(3);
+    roster.record(at(200), &id(0), 10, None);
+    assert_eq!(usable(&roster, at(201)), 2);
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    server: u8,
+    kind: u8,
+    started: u8,
+    report: u8,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Step {
+            server: u8::arbitrary(g) % 4,
+            kind: u8::arbitrary(g) % 3,
+            started: u8::arbitrary(g) % 3,
+            report: u8::arbitrary(g) % 8,
+        }
+    }
+}
+
+/// Guards against a node that learns records from the store and another that learns them from it and differ.
+#[test]
+fn relayed_records_lead_to_the_same_servers() {
+    fn check(steps: Vec<Step>, cut: u8) -> bool {
+        let mut first = Roster::new(RosterOptions::default());
+        let mut second = Roster::new(RosterOptions::default());
+        let mut known = 0;
+        for (position, step) in (0u64..).zip(steps) {
+            let state = if step.kind == 0 { READY } else { DRAINING };
+            let new = entry(step.server, state, step.started.into(), step.report.into());
+            let record = (step.kind < 2).then_some(new);
+            first.record(at(position), &id(step.server), position, record);
+            if position % u64::from(cut % 5 + 1) == 0 {
+                let Some(records) = first.since(known) else { return false };
+                for (id, position, entry) in records {
+                    second.record(at(position), &id, position, entry);
+                }
+                known = position + 1;
+            }
+        }
+        for (id, position, entry) in first.since(known).unwrap_or_default() {
+            second.record(at(position), &id, position, entry);
+        }
+        let listed = |roster: &Roster| {
+            let mut entries: Vec<String> = roster
+                .entries()
+                .iter()
+                .map(|(e, _)| format!("{} {:?} {}", e.id.as_str(), e.state, e.started))
+                .collect();
+            entries.sort();
+            entries
+        };
+        listed(&first) == listed(&second)
+    }
+    let gen = Gen::from_size_and_seed(40, 0x726f_7374);
+    QuickCheck::new().rng(gen).tests(2_000).quickcheck(check as fn(Vec<Step>, u8) -> bool);
+}
+
+fn believed(signals: &[Signal]) -> bool {
+    let options = BeliefOptions::default();
+    let mut belief = Belief::new(at(0));
+    for signal in signals {
+        belief.observe(&options, at(0), *signal, 1.0);
+    }
+    belief.failing(&options, at(0)) > 0.5
+}
+
+cases! {
+    believed;
+    nothing_seen: &[] => false,
+    /// Guards against a failing server that has to fail several requests before it is left.
+    one_error: &[Signal::Error] => true,
+    /// Guards against one error of a server that is known to work.
+    error_after_successes: &[Signal::Success, Signal::Success, Signal::Error] => false,
+    two_errors_after_successes: &[Signal::Success, Signal::Success, Signal::Error, Signal::Error] => true,
+    /// Guards against a server that is left because of one long request.
+    one_slow: &[Signal::Slow] => false,
+    many_slow: &[Signal::Slow, Signal::Slow, Signal::Slow] => true,
+}
+
+/// Guards against a probability outside its bounds and against beliefs that outlast their time.
+#[test]
+fn belief_stays_a_probability_and_fades() {
+    fn check(signals: Vec<(u8, u16)>) -> bool {
+        let options = BeliefOptions::default();
+        let mut belief = Belief::new(at(0));
+        let mut now = 0;
+        for (kind, pause) in signals {
+            now += u64::from(pause % 2_000);
+            let all =
+                [Signal::Success, Signal::Error, Signal::Lost, Signal::Unreachable, Signal::Slow];
+            belief.observe(&options, at(now), all[usize::from(kind) % all.len()], 1.0);
+            if !(0.0..=1.0).contains(&belief.failing(&options, at(now))) {
+                return false;
+            }
+        }
+        let rest = options.onset / (options.onset + options.recovery);
+        (belief.failing(&options, at(now + 120_000)) - rest).abs() < 0.01
+    }
+    let gen = Gen::from_size_and_seed(50, 0x6265_6c66);
+    QuickCheck::new().rng(gen).tests(1_000).quickcheck(check as fn(Vec<(u8, u16)>) -> bool);
+}
+
+/// Guards against a failure that is hidden by successes which were sent before it and come back after it.
+#[test]
+fn earlier_successes_do_not_hide_a_failure() {
+    let mut roster = roster(1);
+    let failing = |roster: &Roster, now| {
+        roster.member(&id(0)).expect("a member").failure(&roster.options().belief, now)
+    };
+    roster.observe(at(1_000), &id(0), Signal::Error, at(999));
+    let after = failing(&roster, at(1_000));
+    for _ in 0..3 {
+        roster.observe(at(1_100), &id(0), Signal::Success, at(600));
+    }
+    assert!(failing(&roster, at(1_100)) > after - 0.05);
+    roster.observe(at(1_600), &id(0), Signal::Success, at(1_200));
+    assert!(failing(&roster, at(1_600)) < after * 0.6, "a success that was sent after it counts");
+    assert!(roster.take_reports()[0].counts.good == 1);
+}
+
+/// Guards against beliefs that are lost when all processes end at once.
+#[test]
+fn recalled_suspect_is_left_until_it_shows_otherwise() {
+    let mut before = roster(2);
+    before.observe(at(0), &id(1), Signal::Error, at(0));
+    before.observe(at(0), &id(1), Signal::Error, at(0));
+    let suspects = before.suspects(at(100));
+    assert_eq!(suspects.iter().map(|(id, _)| id.clone()).collect::<Vec<_>>(), [id(1)]);
+    let mut after = Roster::new(RosterOptions::default());
+    after.recall(at(100), suspects);
+    after.record(at(200), &id(1), 1, Some(ready(1)));
+    assert_eq!(after.suspects(at(200)).len(), 1);
+}
+
+fn ask<'a>(service: &'a ServiceName, zone: &'a DataCentre, bytes: f64, nodes: usize) -> Ask<'a> {
+    let target = Span::from_secs(2);
+    Ask { service, target, zone, failure: 1.0, bytes, tried: &[], limit: 100, nodes }
+}
+
+/// Picks 3,000 times and returns how often each server was chosen.
+fn picks(
+    options: &PickerOptions,
+    roster: &Roster,
+    bytes: f64,
+    nodes: usize,
+) -> HashMap<ServerId, u32> {
+    let (service, zone) = (ServiceName::from("orders"), DataCentre::from("a"));
+    let mut rng = StdRng::seed_from_u64(11);
+    let mut counts = HashMap::new();
+    for _ in 0..3_000 {
+        let choice =
+            pick(options, roster, at(1_000), &ask(&service, &zone, bytes, nodes), &mut rng);
+        *counts.entry(choice.expect("a server").id).or_insert(0) += 1;
+    }
+    counts
+}
+
+fn all_used(roster: &mut Roster) {
+    for number in 0..10 {
+        roster.sent(at(900), &id(number));
+        roster.ended(&id(number));
+    }
+}
+
+/// Guards against work for a server that just failed while others are sound.
+#[test]
+fn failing_server_gets_nearly_nothing() {
+    let mut roster = roster(10);
+    all_used(&mut roster);
+    roster.observe(at(1_000), &id(4), Signal::Error, at(999));
+    let counts = picks(&PickerOptions::default(), &roster, 0.0, 10);
+    assert!(counts.get(&id(4)).copied().unwrap_or(0) < 10, "{counts:?}");
+    assert!(counts[&id(3)] > 200, "{counts:?}");
+}
+
+/// Guards against bursts that go to failing servers because sound ones are busy.
+#[test]
+fn busy_sound_server_is_better_than_an_idle_failing_one() {
+    let mut roster = roster(2);
+    roster.observe(at(990), &id(0), Signal::Error, at(989));
+    for _ in 0..9 {
+        roster.sent(at(990), &id(1));
+    }
+    let options = PickerOptions { floor: 0.0, ..PickerOptions::default() };
+    let counts = picks(&options, &roster, 0.0, 10);
+    assert!(counts[&id(1)] > 2_900, "{counts:?}");
+}
+
+/// Guards against requests that pile up at a few servers.
+#[test]
+fn loaded_server_gets_less() {
+    let mut roster = roster(2);
+    let report = ServerReport { tag: id(0).tag(), counts: Counts::default(), in_flight: 12 };
+    roster.hear(at(900), 77, &report);
+    let counts = picks(&PickerOptions::default(), &roster, 0.0, 10);
+    assert!(counts[&id(1)] > 2 * counts.get(&id(0)).copied().unwrap_or(0), "{counts:?}");
+}
+
+/// Guards against long answers that cross data centres while servers near by are sound.
+#[test]
+fn long_answers_stay_in_the_data_centre() {
+    let mut roster = roster(10);
+    all_used(&mut roster);
+    let options = PickerOptions { zone_mb: 7.0, ..PickerOptions::default() };
+    let counts = picks(&options, &roster, 90_000.0, 10);
+    let far: u32 = (0..10).filter(|n| n % 2 == 1).filter_map(|n| counts.get(&id(n))).sum();
+    assert_eq!(far, 0, "{counts:?}");
+}
+
+/// Guards against servers that look bad and lose the service more than the declared share of its servers.
+#[test]
+fn declared_share_stays_in_use() {
+    let mut roster = roster(10);
+    for number in [0, 2, 4, 6, 8] {
+        roster.observe(at(1_000), &id(number), Signal::Error, at(999));
+        roster.observe(at(1_000), &id(number), Signal::Error, at(999));
+    }
+    for number in [1, 3, 5, 7, 9] {
+        roster.sent(at(900), &id(number));
+    }
+    let counts = picks(&PickerOptions::default(), &roster, 0.0, 10);
+    let near: u32 = [0, 2, 4, 6, 8].iter().filter_map(|n| counts.get(&id(*n))).sum();
+    assert!((200..=400).contains(&near), "one in ten of 3,000 choices: {counts:?}");
+    let none = PickerOptions { floor: 0.0, ..PickerOptions::default() };
+    let counts = picks(&none, &roster, 0.0, 10);
+    let near: u32 = [0, 2, 4, 6, 8].iter().filter_map(|n| counts.get(&id(*n))).sum();
+    assert!(near < 20, "{counts:?}");
+}
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -3,12 +3,22 @@
 use crate::{
     clock::duration,
     error::{Error, Result},
+    reply::{self, ReplyBody},
     request,
     shared::{closing, Shared},
 };
-use hyper::{server::conn::http1, service::service_fn};
+use hyper::{
+    body::Incoming,
+    header::{HeaderValue, CONNECTION, TRANSFER_ENCODING},
+    server::conn::http1,
+    service::service_fn,
+    Request, Response,
+};
 use hyper_util::rt::TokioIo;
-use redwingtrestle_core::time::{Span, Timestamp};
+use redwingtrestle_core::{
+    codes::ResultCode,
+    time::{Span, Timestamp},
+};
 use std::{
     convert::Infallible,
     io,
@@ -38,10 +48,19 @@
 const HEAD: u8 = 1;
 const REQUEST: u8 = 2;
 
+/// What is known of how the body of the current request is delimited.
+const UNSEEN: u8 = 0;
+const CLEAR: u8 = 1;
+const AMBIGUOUS: u8 = 2;
+
+/// The end of a head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
 /// `Progress` is what one connection is doing, and since when.
 #[derive(Debug)]
 struct Progress {
     state: AtomicU8,
+    framing: AtomicU8,
     since: AtomicU64,
     shared: Arc<Shared>,
 }
@@ -88,6 +107,24 @@
 struct Watched {
     socket: TcpStream,
     progress: Arc<Progress>,
+    head: Vec<u8>,
+}
+
+impl Watched {
+    /// Looks at the raw head, as the HTTP library hides a stated length beside a chunked body. Of such a request two
+    /// readers see different ends, and what lies between them would run as a request of its own.
+    fn look(&mut self, bytes: &[u8]) {
+        self.head.extend_from_slice(bytes);
+        let Some(end) = self.head.windows(HEAD_END.len()).position(|w| w == HEAD_END) else {
+            return;
+        };
+        let head = self.head[..end].to_ascii_lowercase();
+        let has = |name: &[u8]| head.split(|b| *b == b'\n').any(|line| line.starts_with(name));
+        let is_ambiguous = has(b"content-length") && has(b"transfer-encoding");
+        let framing = if is_ambiguous { AMBIGUOUS } else { CLEAR };
+        self.progress.framing.store(framing, Ordering::SeqCst);
+        self.head = Vec::new();
+    }
 }
 
 impl AsyncRead for Watched {
@@ -98,9 +135,17 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.socket).poll_read(context, buffer);
-        let is_first = self.progress.state.load(Ordering::SeqCst) == IDLE;
-        if is_first && buffer.filled().len() > before {
+        if buffer.filled().len() == before {
+            return result;
+        }
+        if self.progress.state.load(Ordering::SeqCst) == IDLE {
             self.progress.set(HEAD);
+            self.progress.framing.store(UNSEEN, Ordering::SeqCst);
+            self.head.clear();
+        }
+        let is_head = self.progress.state.load(Ordering::SeqCst) == HEAD;
+        if is_head && self.progress.framing.load(Ordering::SeqCst) == UNSEEN {
+            self.look(&buffer.filled()[before..]);
         }
         result
     }
@@ -166,6 +211,28 @@
     }
 }
 
+/// Answers a request unless the end of its body is in doubt.
+async fn answer(
+    shared: Arc<Shared>,
+    incoming: Request<Incoming>,
+    busy: Busy,
+    framing: u8,
+) -> Response<ReplyBody> {
+    let is_chunked = incoming.headers().contains_key(TRANSFER_ENCODING);
+    let mut response = if framing == AMBIGUOUS {
+        log::info!(target: "entry", code = ResultCode::BadRequest.number();
+            "refused: a request states a length and a chunked body");
+        reply::refusal(ResultCode::BadRequest, None)
+    } else {
+        request::serve(shared, incoming, busy).await
+    };
+    // The head of a request that came with an earlier one was not looked at, so nothing is read after its body.
+    if framing == AMBIGUOUS || (framing == UNSEEN && is_chunked) {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
 async fn connection(shared: Arc<Shared>, socket: TcpStream) {
     // Small answers must not wait for the acknowledgement of earlier segments.
     if let Err(e) = socket.set_nodelay(true) {
@@ -174,6 +241,7 @@
     }
     let progress = Arc::new(Progress {
         state: AtomicU8::new(IDLE),
+        framing: AtomicU8::new(UNSEEN),
         since: AtomicU64::new(shared.now().as_micros()),
         shared: shared.clone(),
     });
@@ -182,9 +250,10 @@
     let service = service_fn(move |incoming| {
         of_connection.set(REQUEST);
         let (shared, busy) = (of_requests.clone(), Busy(of_connection.clone()));
-        async move { Ok::<_, Infallible>(request::serve(shared, incoming, busy).await) }
+        let framing = of_connection.framing.swap(UNSEEN, Ordering::SeqCst);
+        async move { Ok::<_, Infallible>(answer(shared, incoming, busy, framing).await) }
     });
-    let io = TokioIo::new(Watched { socket, progress: progress.clone() });
+    let io = TokioIo::new(Watched { socket, progress: progress.clone(), head: Vec::new() });
     let head = limits().head;
     let connection = http1::Builder::new()
         .max_buf_size(head.max(LEAST_HEAD))
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -261,7 +261,9 @@
         Ok(id) => {
             headers.insert(dialect.target.clone(), id);
         }
-        Err(e) => log::error!(target: "requests", server = choice.id.as_str(); "the id cannot be a header: {e}"),
+        Err(e) => {
+            log::error!(target: "requests", server = choice.id.as_str(); "the id cannot be a header: {e}")
+        }
     }
     outgoing
 }
@@ -296,7 +298,10 @@
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return not_run(flight, true, body, link).await;
     }
-    let is_own = head.headers.get(&dialect.attempt).is_some_and(|id| id.as_bytes() == flight.attempt.as_bytes());
+    let is_own = head
+        .headers
+        .get(&dialect.attempt)
+        .is_some_and(|id| id.as_bytes() == flight.attempt.as_bytes());
     let is_signed = head.headers.contains_key(&dialect.signature);
     if !is_own || (head.status.is_success() && !is_signed) {
         flight.observe(Signal::Lost);
@@ -304,7 +309,8 @@
         return Ended::Lost(format!("the answer {} is not to this request", head.status.as_u16()));
     }
     link.set_idle(head.headers.get("keep-alive").and_then(|v| stated_idle(v.to_str().ok()?)));
-    let closes = head.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+    let closes =
+        head.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
     let body = match collect(body).await {
         Ok(Collected::Whole(bytes)) => {
             if !closes {
@@ -316,7 +322,11 @@
             let status = head.status;
             let end = Box::pin(tokio::time::sleep(std::time::Duration::from_secs(3600)));
             let passing = Passing { first: Some(first), rest, end, flight, link: Some(link) };
-            let answer = Answer { status, headers: head.headers, body: AnswerBody::Passing(Box::new(passing)) };
+            let answer = Answer {
+                status,
+                headers: head.headers,
+                body: AnswerBody::Passing(Box::new(passing)),
+            };
             return judged(status, answer);
         }
         Err(e) => {
@@ -334,8 +344,7 @@
 
 /// Sorts an answer. Refusals that are not marked as "not run" count as errors: the request may have run.
 fn judged(status: StatusCode, answer: Answer) -> Ended {
-    let is_refusal =
-        matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT);
+    let is_refusal = matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT);
     if status.is_server_error() || is_refusal {
         Ended::ServerError(answer)
     } else {
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -74,8 +74,12 @@
         let server = server.map_err(|e| Error::start("calls", format!("{addr}: {e}")))?;
         tokio::spawn(async move {
             match server.launch().await {
-                Ok(_) => log::info!(target: "calls", addr:% = addr; "the server of own calls ended"),
-                Err(e) => log::error!(target: "calls", addr:% = addr; "the server of own calls failed: {e}"),
+                Ok(_) => {
+                    log::info!(target: "calls", addr:% = addr; "the server of own calls ended")
+                }
+                Err(e) => {
+                    log::error!(target: "calls", addr:% = addr; "the server of own calls failed: {e}")
+                }
             }
         });
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -83,7 +83,8 @@
     let end = fleet.servers.position().filter(|end| *end > servers);
     let servers = end.map(|end| {
         let since = (servers > 0).then(|| fleet.roster.since(servers)).flatten();
-        let records = since.map_or_else(|| RecordsDoc::All(fleet.roster.entries()), RecordsDoc::Since);
+        let records =
+            since.map_or_else(|| RecordsDoc::All(fleet.roster.entries()), RecordsDoc::Since);
         ServersDoc { end, records }
     });
     StateDoc { catalog, servers }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -100,7 +100,9 @@
             Record::Catalog(doc) => {
                 shared.install(&doc, source);
             }
-            Record::Server(_, Some(entry)) if step == Step::Newest => entries.push((*entry, position)),
+            Record::Server(_, Some(entry)) if step == Step::Newest => {
+                entries.push((*entry, position))
+            }
             Record::Server(id, entry) => {
                 shared.register(&id, position, entry.map(|e| *e), source);
             }
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -63,7 +63,9 @@
         }
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
-            let line = format!("{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":{dropped}}}\n");
+            let line = format!(
+                "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":{dropped}}}\n"
+            );
             bytes.extend_from_slice(line.as_bytes());
         }
         let mut out = std::io::stdout().lock();
@@ -110,9 +112,8 @@
         .unwrap_or_else(|_| RustLogFilterBuilder::from_spec(DEFAULT_FILTER))
         .build();
     let append = QueueAppend { layout: JsonLayout::default(), queue: queue.clone() };
-    let started = logforth::starter_log::builder()
-        .dispatch(|d| d.filter(filter).append(append))
-        .try_apply();
+    let started =
+        logforth::starter_log::builder().dispatch(|d| d.filter(filter).append(append)).try_apply();
     if started.is_err() {
         return Ok(());
     }
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -116,7 +116,9 @@
                 Ok(addr) => {
                     shared.fleet().mesh.named(now, addr);
                 }
-                Err(e) => log::warn!(target: "memory", key = key.as_str(); "a saved node is left out: {e}"),
+                Err(e) => {
+                    log::warn!(target: "memory", key = key.as_str(); "a saved node is left out: {e}")
+                }
             }
         } else if key == SUSPECTS {
             recall(shared, now, &value);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,10 +1,6 @@
 //! Datagrams between nodes: who is there, and what each saw of backend servers.
 
-use crate::{
-    clock::duration,
-    exchange,
-    shared::Shared,
-};
+use crate::{clock::duration, exchange, shared::Shared};
 use redwingtrestle_core::{
     ids::DataCentre,
     process::{
@@ -59,7 +55,15 @@
 #[derive(Debug, Serialize, Deserialize)]
 enum Datagram {
     /// The sender's own state.
-    Hello { start: u64, entry: SocketAddr, zone: String, state: StateDoc, version: u64, servers: u64, follows: bool },
+    Hello {
+        start: u64,
+        entry: SocketAddr,
+        zone: String,
+        state: StateDoc,
+        version: u64,
+        servers: u64,
+        follows: bool,
+    },
     /// Addresses of nodes that the sender knows.
     Nodes(Vec<SocketAddr>),
     /// What the node `from` saw. A receiver that finds `pass` set hands it on in its own data centre.
@@ -136,7 +140,15 @@
             }
         }
         let suspended = shared.clock.suspended();
-        Peers { shared, socket, reported: now, behind: None, asked: Timestamp::ZERO, suspended, heard: 0 }
+        Peers {
+            shared,
+            socket,
+            reported: now,
+            behind: None,
+            asked: Timestamp::ZERO,
+            suspended,
+            heard: 0,
+        }
     }
 
     /// Runs until the process ends.
@@ -172,7 +184,8 @@
         match postcard::from_bytes(bytes) {
             Ok(Datagram::Hello { start, entry, zone, state, version, servers, follows }) => {
                 let zone = DataCentre::from(zone.as_str());
-                let hello = Hello { start, entry, zone, state: state.into(), version, servers, follows };
+                let hello =
+                    Hello { start, entry, zone, state: state.into(), version, servers, follows };
                 let is_new = self.shared.fleet().mesh.heard(now, from, hello);
                 if is_new {
                     log::info!(target: "peers", peer:% = from, start, version; "a node is heard");
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -185,10 +185,13 @@
 
 /// Returns the gateway's own refusal or failure, with the time after which to come back if the request did not run.
 pub fn refusal(code: ResultCode, wait: Option<Span>) -> Response<ReplyBody> {
-    let text = format!("{{\"code\":{},\"name\":\"{code}\",\"outcome\":\"{}\"}}", code.number(), code.outcome());
+    let text = format!(
+        "{{\"code\":{},\"name\":\"{code}\",\"outcome\":\"{}\"}}",
+        code.number(),
+        code.outcome()
+    );
     let mut response = Response::new(ReplyBody::from(Bytes::from(text)));
-    *response.status_mut() =
-        StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.status_mut() = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
     headers.insert("content-type", HeaderValue::from_static("application/json"));
     if let Some(wait) = wait {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -12,7 +12,7 @@
 use http_body_util::BodyExt;
 use hyper::{
     body::{Body, Frame, Incoming, SizeHint},
-    header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING},
+    header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST},
     Method, Request, Response, StatusCode, Uri,
 };
 use rand::Rng;
@@ -161,7 +161,11 @@
 }
 
 /// Serves one request of a caller.
-pub async fn serve(shared: Arc<Shared>, request: Request<Incoming>, busy: Busy) -> Response<ReplyBody> {
+pub async fn serve(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    busy: Busy,
+) -> Response<ReplyBody> {
     let open = shared.open();
     let begun = shared.now();
     let attempt: Arc<str> = request
@@ -191,7 +195,8 @@
             reply::answer(status, headers, body, is_head)
         }
         Verdict::Own(code) => {
-            let wait = (code.outcome() == Outcome::NotRun && code.status() == 503).then_some(COME_BACK);
+            let wait =
+                (code.outcome() == Outcome::NotRun && code.status() == 503).then_some(COME_BACK);
             reply::refusal(code, wait)
         }
     };
@@ -210,10 +215,8 @@
 ) -> Result<(Job, OutBody), ResultCode> {
     let catalog = shared.catalog.load_full().ok_or(ResultCode::NotReady)?;
     let (mut head, body) = request.into_parts();
-    if head.headers.contains_key(CONTENT_LENGTH) && head.headers.contains_key(TRANSFER_ENCODING) {
-        return Err(ResultCode::BadRequest);
-    }
-    let host = head.uri.host().or_else(|| head.headers.get(HOST)?.to_str().ok()).unwrap_or_default();
+    let host =
+        head.uri.host().or_else(|| head.headers.get(HOST)?.to_str().ok()).unwrap_or_default();
     let Some(route) = catalog.find(host, head.uri.path()) else {
         // Without the store and without peers the configuration may be old, and the route may exist by now.
         let is_isolated = {
@@ -224,7 +227,8 @@
     };
     let draw = shared.fleet().rng.random();
     let service = route.service(draw).cloned().ok_or(ResultCode::NoServer)?;
-    let waits = head.headers.get(&shared.dialect.deadline).and_then(|v| v.to_str().ok()?.parse().ok());
+    let waits =
+        head.headers.get(&shared.dialect.deadline).and_then(|v| v.to_str().ok()?.parse().ok());
     let time = waits.map_or(route.timeout, |ms| Span::from_millis(ms).min(route.timeout));
     let limit = catalog.limits().body;
     let body = read(body, limit, duration(time)).await?;
@@ -254,7 +258,11 @@
 }
 
 /// Reads a request body, or its beginning if it is too long to be kept.
-async fn read(mut body: Incoming, limit: u64, time: std::time::Duration) -> Result<OutBody, ResultCode> {
+async fn read(
+    mut body: Incoming,
+    limit: u64,
+    time: std::time::Duration,
+) -> Result<OutBody, ResultCode> {
     if body.size_hint().lower() > limit {
         return Err(ResultCode::BodyTooLarge);
     }
@@ -273,7 +281,8 @@
         }
         Ok(false)
     };
-    let is_long = tokio::time::timeout(time, reading).await.map_err(|_| ResultCode::DeadlineUnmet)??;
+    let is_long =
+        tokio::time::timeout(time, reading).await.map_err(|_| ResultCode::DeadlineUnmet)??;
     if bytes.len() as u64 > limit {
         return Err(ResultCode::BodyTooLarge);
     }
@@ -377,7 +386,9 @@
     fn hedge(&self) -> std::time::Duration {
         let usual = self.shared.fleet().roster.usual(&self.outgoing.service, HEDGE_SHARE);
         let wait = match usual {
-            Some(usual) => Span::from_micros(usual.times(HEDGE_FACTOR.0).as_micros() / HEDGE_FACTOR.1),
+            Some(usual) => {
+                Span::from_micros(usual.times(HEDGE_FACTOR.0).as_micros() / HEDGE_FACTOR.1)
+            }
             None => Span::from_micros(self.route.target.as_micros() / 2),
         };
         duration(wait.max(LEAST_HEDGE))
@@ -400,7 +411,8 @@
             Ended::Answer(mut answer) => {
                 self.learn_size(&answer);
                 if let AnswerBody::Passing(passing) = &mut answer.body {
-                    passing.end = Box::pin(tokio::time::sleep(duration(self.end.since(self.shared.now()))));
+                    passing.end =
+                        Box::pin(tokio::time::sleep(duration(self.end.since(self.shared.now()))));
                 }
                 course.last = label.into();
                 return Some(Verdict::Answer(answer));
@@ -522,7 +534,11 @@
         if let Some(answer) = course.fallback.take() {
             return final_error(answer);
         }
-        Verdict::Own(if course.may_have_run { ResultCode::ServerTimeout } else { ResultCode::DeadlineUnmet })
+        Verdict::Own(if course.may_have_run {
+            ResultCode::ServerTimeout
+        } else {
+            ResultCode::DeadlineUnmet
+        })
     }
 
     fn log(&self, verdict: &Verdict, course: &Course) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -171,8 +171,14 @@
             (self.retry_window_s == 0, "retry_window_s: must be at least 1"),
             (!(0.0..=1e6).contains(&self.zone_cost_mb), "zone_cost_mb: must not be negative"),
             (!(0.0..=1.0).contains(&self.floor_share), "floor_share: must be between 0 and 1"),
-            (!(1e-6..=10.0).contains(&self.onset_per_s), "onset_per_s: must be above 0, at most 10"),
-            (!(1e-6..=10.0).contains(&self.recovery_per_s), "recovery_per_s: must be above 0, at most 10"),
+            (
+                !(1e-6..=10.0).contains(&self.onset_per_s),
+                "onset_per_s: must be above 0, at most 10",
+            ),
+            (
+                !(1e-6..=10.0).contains(&self.recovery_per_s),
+                "recovery_per_s: must be above 0, at most 10",
+            ),
             (!(0.0..=1e3).contains(&self.focus), "focus: must be between 0 and 1000"),
             (!(0.0..=1e3).contains(&self.even_cost), "even_cost: must be between 0 and 1000"),
             (!(0.0..=1e3).contains(&self.late_cost), "late_cost: must be between 0 and 1000"),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -84,9 +84,5 @@
     fn saved(&self) -> impl Future<Output = Result<Vec<(String, Vec<u8>)>, StoreError>> + Send;
 
     /// Saves a value for gateways that start later.
-    fn save(
-        &self,
-        key: &str,
-        value: &[u8],
-    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+    fn save(&self, key: &str, value: &[u8]) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -6,8 +6,7 @@
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
 
 /// The bounds of the latency histograms, in seconds.
-const LATENCY_BOUNDS: [f64; 12] =
-    [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0];
+const LATENCY_BOUNDS: [f64; 12] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0];
 
 /// Installs the recorder and returns what renders it; later calls return the first one's.
 pub fn handle() -> &'static PrometheusHandle {
@@ -40,7 +39,10 @@
         Unit::Seconds,
         "Time from the head of a request to its answer, by service"
     );
-    describe_counter!("redwing_gateway_sends_total", "Sends to backend servers, by service and end");
+    describe_counter!(
+        "redwing_gateway_sends_total",
+        "Sends to backend servers, by service and end"
+    );
     describe_counter!("redwing_gateway_connects_total", "New connections to backend servers");
     describe_counter!("redwing_store_calls_total", "Calls to the store, by stream and result");
     describe_counter!("redwing_peer_bytes_total", "Bytes of messages between nodes, by direction");
