Ask nodes that were heard first, and mend the red test of many nodes

Cause of many_nodes_are_asked_a_part_at_a_time: with 200 recorded members that hang, the living node was asked last. In a large fleet untested links count as usable, so all 200 came before it by address, and a query that hung ended before its turn (printed in the failing run: missing 201, answered 1, 64 asked, 30 queries in a row). Ruled out: nodes asked twice, the machine's load.

--- a/crates/node/src/operators/fan_out.rs
+++ b/crates/node/src/operators/fan_out.rs
@@ -1,10 +1,11 @@
 //! Asks the other nodes of the fleet and merges their answers.
 
 use super::{node_name, rows};
-use crate::{rpc, shared::Shared};
+use crate::{control::view::MemberView, rpc, shared::Shared};
 use jsonrpsee::{core::client::ClientT, rpc_params};
 use redwingtrestle_wire::query::{Answer, Coverage, Query, QueryRequest, QUERY_METHOD};
 use std::{
+    cmp::Reverse,
     collections::BTreeSet,
     net::SocketAddr,
     time::{Duration, Instant},
@@ -49,16 +50,18 @@
 /// Returns the nodes to ask: those that are heard, and those that the log records as members.
 ///
 /// A recorded node that is not heard is asked as well, so that an answer names it as missing until the
-/// log records that it left. Nodes with a link in both directions come first: calls to a lost data
-/// centre last as long as the whole query, and would keep the others from being asked.
+/// log records that it left. Nodes that were heard directly come first, the newest before the others: calls to a lost
+/// data centre last as long as the whole query, and would keep the others from being asked. A link that counts as
+/// usable is no proof, since a large fleet does not test each of them.
 fn peers(shared: &Shared) -> Vec<SocketAddr> {
     let view = shared.view.load();
     let agreed = shared.agreed.load();
-    let usable = view.usable.iter().map(|n| n.addr);
-    let heard = view.members.iter().map(|m| m.member.node.addr);
+    let mut heard: Vec<&MemberView> = view.members.iter().collect();
+    heard.sort_by_key(|m| Reverse((m.heard, m.usable)));
+    let heard = heard.iter().map(|m| m.member.node.addr);
     let recorded = agreed.state.iter().flat_map(|s| s.members.keys()).map(|n| n.addr);
     let mut known = BTreeSet::from([shared.id.addr]);
-    usable.chain(heard).chain(recorded).filter(|addr| known.insert(*addr)).collect()
+    heard.chain(recorded).filter(|addr| known.insert(*addr)).collect()
 }
 
 async fn call(peer: SocketAddr, query: Query) -> Option<Answer> {
