--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -5,7 +5,7 @@
     process::roster::{Member, Roster, ServerId},
     time::{Span, Timestamp},
 };
-use rand::Rng;
+use rand::{seq::IndexedRandom, Rng};
 use std::net::SocketAddr;
 
 /// `PickerOptions` weighs the reasons for and against a server. A loss of 1 is one failed request.
@@ -42,6 +42,10 @@
 /// How long ago the last request to a server may be while the server counts as in use.
 const IN_USE: Span = Span::from_millis(1_500);
 
+/// How far above the declared share of servers in use a node stays. Which servers count as sound for that share is not
+/// known to it: among those that do, the share of unused ones may be larger than among all.
+const FLOOR_MARGIN: f64 = 0.1;
+
 /// `Ask` describes the request that needs a server.
 #[derive(Clone, Debug)]
 pub struct Ask<'a> {
@@ -59,8 +63,6 @@
     pub tried: &'a [ServerId],
     /// The most requests of this node in flight at one server.
     pub limit: u32,
-    /// The nodes of the fleet.
-    pub nodes: usize,
 }
 
 /// `Choice` is the chosen server and what decided.
@@ -144,11 +146,11 @@
     Some(choice(options, roster, now, member, ask, work, open.len()))
 }
 
-/// Returns a server that has to be used because too few of the service are, the one with the least expected loss.
+/// Returns a server that has to be used because too few of the service are, one of those with the least expected loss.
 ///
 /// A service whose servers mostly look bad would otherwise lose the capacity of those that only look so. All nodes see
-/// the lack at the same time, so each acts on it once in as many choices as there are nodes, and only for servers of
-/// its own data centre.
+/// the lack at about the same time, so each acts on it only in a part of its choices, the larger the lack, and only for
+/// servers of its own data centre.
 fn below_floor<'a>(
     options: &PickerOptions,
     now: Timestamp,
@@ -158,13 +160,17 @@
     rng: &mut impl Rng,
 ) -> Option<&'a Member> {
     let used = usable.iter().filter(|m| m.is_used(now, IN_USE)).count();
-    let least = (usable.len() as f64 * options.floor).ceil() as usize;
-    if used >= least || rng.random_range(0..ask.nodes.max(1)) > 0 {
+    let share = (options.floor + FLOOR_MARGIN * options.floor.ceil()).min(1.0);
+    let lack = ((usable.len() as f64 * share).ceil() as usize).saturating_sub(used);
+    if rng.random_range(0..usable.len()) >= lack {
         return None;
     }
-    let unused =
-        open.iter().filter(|(m, _)| !m.is_used(now, IN_USE) && m.entry().zone == *ask.zone);
-    unused.min_by(|(_, a), (_, b)| a.all.total_cmp(&b.all)).map(|(m, _)| *m)
+    let is_near = |m: &Member| m.entry().zone == *ask.zone;
+    let mut unused: Vec<&(&Member, Loss)> =
+        open.iter().filter(|(m, _)| !m.is_used(now, IN_USE) && is_near(m)).collect();
+    unused.sort_by(|(_, a), (_, b)| a.all.total_cmp(&b.all));
+    unused.truncate(lack);
+    unused.choose(rng).map(|(m, _)| *m)
 }
 
 fn choice(
--- a/crates/core/src/process/roster.rs
+++ b/crates/core/src/process/roster.rs
@@ -147,6 +147,8 @@
     pub lost: u8,
     /// Answers that take too long.
     pub slow: u8,
+    /// Requests that were sent.
+    pub sent: u8,
 }
 
 impl Counts {
@@ -465,6 +467,7 @@
         if let Some(member) = self.members.get_mut(id) {
             member.in_flight += 1;
             member.used = Some(now);
+            member.counts.sent = member.counts.sent.saturating_add(1);
             touch(&mut self.touched, id);
         }
     }
@@ -504,7 +507,9 @@
     pub fn hear(&mut self, now: Timestamp, from: u64, report: &ServerReport) {
         let Some(id) = self.by_tag.get(&report.tag) else { return };
         let Some(member) = self.members.get_mut(id) else { return };
-        member.used = Some(now);
+        if report.counts.sent > 0 {
+            member.used = Some(now);
+        }
         member.others.insert(from, (report.in_flight, now));
         let age = self.options.report_age;
         member.others.retain(|_, (count, at)| *count > 0 && now.since(*at) <= age);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -17,6 +17,10 @@
 /// How long a watch waits for a record. Each call is priced, and a silent connection is found by its own means.
 const WATCH: Duration = Duration::from_secs(25);
 
+/// The pause after an answer. Records that come in quick succession then share a call, as each call is priced; it is
+/// short beside the two seconds within which a change must be in force.
+const GATHER: Span = Span::from_millis(200);
+
 /// How often a node that does not follow the store looks whether it has to.
 const TURN_CHECK: Duration = Duration::from_millis(200);
 
@@ -112,7 +116,7 @@
     if stream == Stream::Servers && step == Step::Newest {
         shared.register_all(end, entries, source);
     }
-    None
+    (stream == Stream::Servers).then_some(GATHER)
 }
 
 /// Takes a failed call, and returns how long to wait before the next one.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -78,21 +78,22 @@
     errors: u8,
     lost: u8,
     slow: u8,
+    sent: u8,
     in_flight: u16,
 }
 
 impl From<ServerReport> for RowDoc {
     fn from(report: ServerReport) -> Self {
-        let Counts { good, errors, lost, slow } = report.counts;
+        let Counts { good, errors, lost, slow, sent } = report.counts;
         let in_flight = report.in_flight.min(u32::from(u16::MAX)) as u16;
-        RowDoc { tag: report.tag, good, errors, lost, slow, in_flight }
+        RowDoc { tag: report.tag, good, errors, lost, slow, sent, in_flight }
     }
 }
 
 impl From<RowDoc> for ServerReport {
     fn from(row: RowDoc) -> Self {
-        let RowDoc { tag, good, errors, lost, slow, in_flight } = row;
-        let counts = Counts { good, errors, lost, slow };
+        let RowDoc { tag, good, errors, lost, slow, sent, in_flight } = row;
+        let counts = Counts { good, errors, lost, slow, sent };
         ServerReport { tag, counts, in_flight: in_flight.into() }
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -504,7 +504,6 @@
             bytes: sizes.get(&self.route.name).copied().unwrap_or(FIRST_SIZE),
             tried,
             limit: (connections / nodes).max(LEAST_CONNECTIONS),
-            nodes: nodes as usize,
         };
         picker::pick(&shared.picker, roster, now, &ask, rng)
     }
