Split the gateway's request path so that its modules refer one way

request.rs held the body, the sends and the answer, and accept, reply, attempt, pool and request referred to each other. Now: accept, request, job, attempt, flight, pool, outgoing, with progress and reply beside them. The roster's entries and members have files of their own. No behaviour changed.

--- /dev/null
+++ b/crates/core/src/process/member.rs
@@ -0,0 +1,132 @@
+//! One backend server with what is known and believed of it.
+
+use crate::{
+    process::{
+        belief::{Belief, BeliefOptions, Signal},
+        registration::ServerEntry,
+    },
+    time::{Span, Timestamp},
+};
+use std::collections::BTreeMap;
+
+/// `Presence` is how far a server may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Presence {
+    Ready,
+    Draining,
+    Ended,
+}
+
+/// `Member` is one server with what is known and believed of it.
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub(super) entry: ServerEntry,
+    pub(super) position: u64,
+    pub(super) presence: Presence,
+    pub(super) since: Timestamp,
+    pub(super) warm: Timestamp,
+    pub(super) shared: Belief,
+    pub(super) path: Belief,
+    pub(super) failed: Option<Timestamp>,
+    pub(super) is_seen: bool,
+    pub(super) used: Option<Timestamp>,
+    pub(super) in_flight: u32,
+    pub(super) others: BTreeMap<u64, (u32, Timestamp)>,
+    pub(super) counts: Counts,
+}
+
+/// `Counts` are the signals of one server since the last report to other nodes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Good answers.
+    pub good: u8,
+    /// Server errors.
+    pub errors: u8,
+    /// Answers that were lost or never came, and connections that could not be opened.
+    pub lost: u8,
+    /// Answers that take too long.
+    pub slow: u8,
+    /// Requests that were sent.
+    pub sent: u8,
+}
+
+impl Counts {
+    pub(super) fn add(&mut self, signal: Signal) {
+        let field = match signal {
+            Signal::Success => &mut self.good,
+            Signal::Error => &mut self.errors,
+            Signal::Lost | Signal::Unreachable => &mut self.lost,
+            Signal::Slow => &mut self.slow,
+        };
+        *field = field.saturating_add(1);
+    }
+
+    /// Returns the signals with their numbers.
+    pub fn signals(self) -> [(Signal, u8); 4] {
+        [
+            (Signal::Success, self.good),
+            (Signal::Error, self.errors),
+            (Signal::Lost, self.lost),
+            (Signal::Slow, self.slow),
+        ]
+    }
+}
+
+/// `ServerReport` is what one node tells the others of its use of one server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerReport {
+    /// The server, see [`ServerId::tag`].
+    pub tag: u32,
+    /// What the node saw since its last report.
+    pub counts: Counts,
+    /// The node's requests in flight there.
+    pub in_flight: u32,
+}
+
+impl Member {
+    /// Notes a failure: successes that wait to be reported were sent before it.
+    pub(super) fn fail(&mut self, now: Timestamp) {
+        self.failed = Some(now);
+        self.counts.good = 0;
+    }
+
+    /// Returns what the server wrote.
+    pub fn entry(&self) -> &ServerEntry {
+        &self.entry
+    }
+
+    /// Returns this node's requests in flight there.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the known requests in flight there, of all nodes.
+    ///
+    /// What another node said is believed for `report_age`.
+    pub fn load(&self, report_age: Span, now: Timestamp) -> u32 {
+        let fresh = |at: Timestamp| now.since(at) <= report_age;
+        let others = self.others.values().filter(|(_, at)| fresh(*at)).map(|(count, _)| count);
+        self.in_flight + others.sum::<u32>()
+    }
+
+    /// Returns the probability that a request there fails, by the server's phase or on the path to it.
+    pub fn failure(&self, options: &BeliefOptions, now: Timestamp) -> f64 {
+        let shared = self.shared.failing(options, now);
+        let path = self.path.failing(options, now);
+        options.fail_failing * shared.max(path)
+    }
+
+    /// Returns the share of its speed that a server which has just started has, 0.5 or 1.
+    pub fn speed(&self, now: Timestamp) -> f64 {
+        if now < self.warm {
+            0.5
+        } else {
+            1.0
+        }
+    }
+
+    /// Returns whether any node is known to have sent a request there within `window`.
+    pub fn is_used(&self, now: Timestamp, window: Span) -> bool {
+        self.used.is_some_and(|used| now.since(used) < window)
+    }
+}
--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     ids::{DataCentre, ServiceName},
-    process::roster::{Member, Roster, ServerId},
+    process::{member::Member, registration::ServerId, roster::Roster},
     time::{Span, Timestamp},
 };
 use rand::{seq::IndexedRandom, Rng};
@@ -96,7 +96,7 @@
     work: Span,
 ) -> Loss {
     let slots = f64::from(member.entry().slots.max(1)) * member.speed(now);
-    let load = f64::from(member.load(roster.options(), now) + 1) / slots;
+    let load = f64::from(member.load(roster.options().report_age, now) + 1) / slots;
     let time = work.as_secs_f64() * load.max(1.0) / ask.target.as_secs_f64().max(1e-3);
     let late = ((time - LATE_FROM) / (LATE_AT - LATE_FROM)).clamp(0.0, 1.0);
     let is_near = member.entry().zone == *ask.zone;
@@ -186,7 +186,7 @@
         id: member.entry().id.clone(),
         addr: member.entry().addr,
         failure: member.failure(&roster.options().belief, now),
-        load: member.load(roster.options(), now),
+        load: member.load(roster.options().report_age, now),
         late: loss(options, roster, now, member, ask, work).late,
         among,
     }
--- a/crates/core/src/process/roster.rs
+++ b/crates/core/src/process/roster.rs
@@ -1,69 +1,16 @@
-//! The backend servers that registered themselves, and what is believed of each.
+//! The backend servers that registered themselves, by service.
 
 use crate::{
-    ids::{DataCentre, ServiceName},
+    ids::ServiceName,
     process::{
         belief::{Belief, BeliefOptions, Signal},
         latency::Latency,
+        member::{Counts, Member, Presence, ServerReport},
+        registration::{EntryState, ServerEntry, ServerId},
     },
     time::{Span, Timestamp},
 };
-use serde::{Deserialize, Serialize};
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-    sync::Arc,
-};
-use xxhash_rust::xxh3::xxh3_64;
-
-/// `ServerId` names one registration of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct ServerId(pub Arc<str>);
-
-impl ServerId {
-    /// Returns the short form in which nodes name the server to each other.
-    pub fn tag(&self) -> u32 {
-        xxh3_64(self.0.as_bytes()) as u32
-    }
-
-    /// Returns the id as text.
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-}
-
-/// `EntryState` is what a server says of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum EntryState {
-    /// The server takes work.
-    Ready,
-    /// The server is leaving and takes no new work.
-    Draining,
-}
-
-/// `ServerEntry` is one registration, as the server wrote it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServerEntry {
-    /// The id, which a request names so that no other server runs it.
-    pub id: ServerId,
-    /// Where the server listens.
-    pub addr: SocketAddr,
-    /// The service it belongs to.
-    pub service: ServiceName,
-    /// The data centre it runs in.
-    pub zone: DataCentre,
-    /// The requests that it runs at once.
-    pub slots: u32,
-    /// What it says of itself.
-    pub state: EntryState,
-    /// How much longer it is slow after its start.
-    pub warmup: Span,
-    /// When it started, in Unix milliseconds; zero if it does not say.
-    pub started: u64,
-    /// The number of its report, which grows within one start.
-    pub report: u64,
-}
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// `Change` is what a record changed in the roster.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -107,133 +54,13 @@
 /// How long the position of an ended registration is kept, so that a delayed older record does not revive it.
 const FORGET: Span = Span::from_secs(120);
 
-/// `Presence` is how far a server may be used.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Presence {
-    Ready,
-    Draining,
-    Ended,
-}
-
 /// The probability from which on a server counts as probably failing.
 const SUSPECT: f64 = 0.3;
 
-/// `Member` is one server with what is known and believed of it.
-#[derive(Clone, Debug)]
-pub struct Member {
-    entry: ServerEntry,
-    position: u64,
-    presence: Presence,
-    since: Timestamp,
-    warm: Timestamp,
-    shared: Belief,
-    path: Belief,
-    failed: Option<Timestamp>,
-    is_seen: bool,
-    used: Option<Timestamp>,
-    in_flight: u32,
-    others: BTreeMap<u64, (u32, Timestamp)>,
-    counts: Counts,
-}
-
-/// `Counts` are the signals of one server since the last report to other nodes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Good answers.
-    pub good: u8,
-    /// Server errors.
-    pub errors: u8,
-    /// Answers that were lost or never came, and connections that could not be opened.
-    pub lost: u8,
-    /// Answers that take too long.
-    pub slow: u8,
-    /// Requests that were sent.
-    pub sent: u8,
-}
-
-impl Counts {
-    fn add(&mut self, signal: Signal) {
-        let field = match signal {
-            Signal::Success => &mut self.good,
-            Signal::Error => &mut self.errors,
-            Signal::Lost | Signal::Unreachable => &mut self.lost,
-            Signal::Slow => &mut self.slow,
-        };
-        *field = field.saturating_add(1);
-    }
-
-    /// Returns the signals with their numbers.
-    pub fn signals(self) -> [(Signal, u8); 4] {
-        [
-            (Signal::Success, self.good),
-            (Signal::Error, self.errors),
-            (Signal::Lost, self.lost),
-            (Signal::Slow, self.slow),
-        ]
-    }
-}
-
-/// `ServerReport` is what one node tells the others of its use of one server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ServerReport {
-    /// The server, see [`ServerId::tag`].
-    pub tag: u32,
-    /// What the node saw since its last report.
-    pub counts: Counts,
-    /// The node's requests in flight there.
-    pub in_flight: u32,
-}
-
 /// The weight of a signal that another node saw and that its own path may have caused. Two such signals from
 /// different nodes together count about as much as one seen here.
 const FOREIGN_PATH_SHARE: f64 = 0.5;
 
-impl Member {
-    /// Notes a failure: successes that wait to be reported were sent before it.
-    fn fail(&mut self, now: Timestamp) {
-        self.failed = Some(now);
-        self.counts.good = 0;
-    }
-
-    /// Returns what the server wrote.
-    pub fn entry(&self) -> &ServerEntry {
-        &self.entry
-    }
-
-    /// Returns this node's requests in flight there.
-    pub fn in_flight(&self) -> u32 {
-        self.in_flight
-    }
-
-    /// Returns the known requests in flight there, of all nodes.
-    pub fn load(&self, options: &RosterOptions, now: Timestamp) -> u32 {
-        let fresh = |at: Timestamp| now.since(at) <= options.report_age;
-        let others = self.others.values().filter(|(_, at)| fresh(*at)).map(|(count, _)| count);
-        self.in_flight + others.sum::<u32>()
-    }
-
-    /// Returns the probability that a request there fails, by the server's phase or on the path to it.
-    pub fn failure(&self, options: &BeliefOptions, now: Timestamp) -> f64 {
-        let shared = self.shared.failing(options, now);
-        let path = self.path.failing(options, now);
-        options.fail_failing * shared.max(path)
-    }
-
-    /// Returns the share of its speed that a server which has just started has, 0.5 or 1.
-    pub fn speed(&self, now: Timestamp) -> f64 {
-        if now < self.warm {
-            0.5
-        } else {
-            1.0
-        }
-    }
-
-    /// Returns whether any node is known to have sent a request there within `window`.
-    pub fn is_used(&self, now: Timestamp, window: Span) -> bool {
-        self.used.is_some_and(|used| now.since(used) < window)
-    }
-}
-
 /// A record of a server: its id, its position, and its entry unless the registration ended there.
 pub type ServerRecord = (ServerId, u64, Option<ServerEntry>);
 
@@ -354,8 +181,7 @@
         end: u64,
         records: Vec<(ServerEntry, u64)>,
     ) -> Vec<(ServerId, Change)> {
-        let listed: std::collections::HashSet<ServerId> =
-            records.iter().map(|(entry, _)| entry.id.clone()).collect();
+        let listed: HashSet<ServerId> = records.iter().map(|(entry, _)| entry.id.clone()).collect();
         let missing: Vec<ServerId> = self
             .members
             .iter()
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -7,10 +7,10 @@
     ids::{DataCentre, ServiceName},
     process::{
         belief::{Belief, BeliefOptions, Signal},
+        member::{Counts, ServerReport},
         picker::{pick, Ask, PickerOptions},
-        roster::{
-            Change, Counts, EntryState, Roster, RosterOptions, ServerEntry, ServerId, ServerReport,
-        },
+        registration::{EntryState, ServerEntry, ServerId},
+        roster::{Change, Roster, RosterOptions},
     },
     time::{Span, Timestamp},
 };
@@ -29,7 +29,7 @@
         id: id(number),
         addr: ([10, 0, 0, number], 80).into(),
         service: "orders".into(),
-        zone: if number % 2 == 0 { "a" } else { "b" }.into(),
+        zone: if number.is_multiple_of(2) { "a" } else { "b" }.into(),
         slots: 6,
         state,
         warmup: Span::ZERO,
@@ -54,8 +54,11 @@
     roster.usable(now, &ServiceName::from("orders")).len()
 }
 
+/// The state, start and number of a report; none ends the registration.
+type Report = Option<(EntryState, u64, u64)>;
+
 /// Applies records of server 0 after a first one of start 5, report 5, and returns what the last one changed.
-fn last_change(records: &[(u64, Option<(EntryState, u64, u64)>)]) -> (Change, usize) {
+fn last_change(records: &[(u64, Report)]) -> (Change, usize) {
     let mut roster = Roster::new(RosterOptions::default());
     roster.record(at(0), &id(0), 10, Some(entry(0, EntryState::Ready, 5, 5)));
     let mut change = Change::Nothing;
@@ -320,7 +323,8 @@
     all_used(&mut roster);
     let options = PickerOptions { zone_mb: 7.0, ..PickerOptions::default() };
     let counts = picks(&options, &roster, 90_000.0);
-    let far: u32 = (0..10).filter(|n| n % 2 == 1).filter_map(|n| counts.get(&id(n))).sum();
+    let far: u32 =
+        (0..10).filter(|n: &u8| !n.is_multiple_of(2)).filter_map(|n| counts.get(&id(n))).sum();
     assert_eq!(far, 0, "{counts:?}");
 }
 
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock::duration,
     error::{Error, Result},
+    progress::{Busy, Check, Progress, AMBIGUOUS, CLEAR, HEAD, IDLE, UNSEEN},
     reply::{self, ReplyBody},
     request,
     shared::{closing, Shared},
@@ -15,18 +16,12 @@
     Request, Response,
 };
 use hyper_util::rt::TokioIo;
-use redwingtrestle_core::{
-    codes::ResultCode,
-    time::{Span, Timestamp},
-};
+use redwingtrestle_core::{codes::ResultCode, time::Span};
 use std::{
     convert::Infallible,
     io,
     pin::Pin,
-    sync::{
-        atomic::{AtomicU64, AtomicU8, Ordering},
-        Arc,
-    },
+    sync::{atomic::Ordering, Arc},
     task::{Context, Poll},
 };
 use tokio::{
@@ -43,65 +38,9 @@
 /// The pause after a connection could not be accepted, usually for want of descriptors.
 const ACCEPT_PAUSE: Span = Span::from_millis(50);
 
-/// What a connection is doing.
-const IDLE: u8 = 0;
-const HEAD: u8 = 1;
-const REQUEST: u8 = 2;
-
-/// What is known of how the body of the current request is delimited.
-const UNSEEN: u8 = 0;
-const CLEAR: u8 = 1;
-const AMBIGUOUS: u8 = 2;
-
 /// The end of a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
-/// `Progress` is what one connection is doing, and since when.
-#[derive(Debug)]
-struct Progress {
-    state: AtomicU8,
-    framing: AtomicU8,
-    since: AtomicU64,
-    shared: Arc<Shared>,
-}
-
-impl Progress {
-    fn set(&self, state: u8) {
-        self.since.store(self.shared.now().as_micros(), Ordering::SeqCst);
-        self.state.store(state, Ordering::SeqCst);
-    }
-
-    /// Returns whether the connection is over its time, and when to look again if it is not.
-    fn check(&self, head: Span, idle: Span) -> Check {
-        let now = self.shared.now();
-        let since = Timestamp::from_micros(self.since.load(Ordering::SeqCst));
-        let passed = now.since(since);
-        match self.state.load(Ordering::SeqCst) {
-            IDLE if passed >= idle => Check::Idle,
-            HEAD if passed >= head => Check::SlowHead,
-            IDLE => Check::Later((idle - passed).min(idle)),
-            HEAD => Check::Later(head - passed),
-            _ => Check::Later(head),
-        }
-    }
-}
-
-enum Check {
-    Later(Span),
-    Idle,
-    SlowHead,
-}
-
-/// `Busy` marks a connection as serving a request until the answer has been handed over.
-#[derive(Debug)]
-pub struct Busy(Arc<Progress>);
-
-impl Drop for Busy {
-    fn drop(&mut self) {
-        self.0.set(IDLE);
-    }
-}
-
 /// `Watched` is a caller's socket that notes when the head of a request begins to arrive.
 #[derive(Debug)]
 struct Watched {
@@ -239,17 +178,11 @@
         log::debug!(target: "entry", "a connection was lost at once: {e}");
         return;
     }
-    let progress = Arc::new(Progress {
-        state: AtomicU8::new(IDLE),
-        framing: AtomicU8::new(UNSEEN),
-        since: AtomicU64::new(shared.now().as_micros()),
-        shared: shared.clone(),
-    });
+    let progress = Arc::new(Progress::new(shared.clone()));
     let limits = || shared.catalog.load().as_ref().map(|c| c.limits()).unwrap_or_default();
     let (of_connection, of_requests) = (progress.clone(), shared.clone());
     let service = service_fn(move |incoming| {
-        of_connection.set(REQUEST);
-        let (shared, busy) = (of_requests.clone(), Busy(of_connection.clone()));
+        let (shared, busy) = (of_requests.clone(), Busy::new(of_connection.clone()));
         let framing = of_connection.framing.swap(UNSEEN, Ordering::SeqCst);
         async move { Ok::<_, Infallible>(answer(shared, incoming, busy, framing).await) }
     });
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,9 +3,10 @@
 use crate::{
     clock::duration,
     dialect::Dialect,
+    flight::Flight,
+    outgoing::{OutBody, Outgoing},
     pool::{stated_idle, Link},
     reply::Passing,
-    request::{OutBody, Outgoing},
     shared::Shared,
 };
 use bytes::{Bytes, BytesMut};
@@ -16,7 +17,7 @@
     Request, Response, StatusCode,
 };
 use redwingtrestle_core::{
-    process::{belief::Signal, picker::Choice, roster::ServerId},
+    process::{belief::Signal, picker::Choice},
     time::{Span, Timestamp},
 };
 use std::sync::Arc;
@@ -79,88 +80,6 @@
     Lost(String),
 }
 
-/// `Flight` counts a send as in flight while it lives, and reports what it showed of the server.
-#[derive(Debug)]
-pub struct Flight {
-    shared: Arc<Shared>,
-    id: ServerId,
-    attempt: Arc<str>,
-    begun: Timestamp,
-    is_slow: bool,
-}
-
-impl Flight {
-    fn begin(shared: &Arc<Shared>, id: &ServerId, attempt: &Arc<str>) -> Self {
-        shared.fleet().roster.sent(shared.now(), id);
-        Flight {
-            shared: shared.clone(),
-            id: id.clone(),
-            attempt: attempt.clone(),
-            begun: shared.now(),
-            is_slow: false,
-        }
-    }
-
-    /// Returns the server's id.
-    pub fn server(&self) -> &str {
-        self.id.as_str()
-    }
-
-    /// Returns the id of the caller's attempt.
-    pub fn attempt(&self) -> &str {
-        &self.attempt
-    }
-
-    /// Takes a signal into account, and sends it to the other nodes at once if it is bad.
-    pub fn observe(&mut self, signal: Signal) {
-        let now = self.shared.now();
-        self.shared.fleet().roster.observe(now, &self.id, signal, self.begun);
-        if signal != Signal::Success {
-            self.shared.urgent.notify_one();
-        }
-    }
-
-    /// Notes a good answer. One that took very long says nothing good about the server.
-    pub fn succeed(&mut self) {
-        if !self.is_slow {
-            self.observe(Signal::Success);
-        }
-    }
-
-    /// Notes a refusal. A server that refuses work while it has free slots is failing, not full.
-    fn shed(&mut self) {
-        let is_full = {
-            let fleet = self.shared.fleet();
-            let now = self.shared.now();
-            let roster = &fleet.roster;
-            roster.member(&self.id).is_none_or(|m| m.load(roster.options(), now) > m.entry().slots)
-        };
-        if !is_full {
-            self.observe(Signal::Slow);
-        }
-    }
-
-    fn slow(&mut self) {
-        self.is_slow = true;
-        self.observe(Signal::Slow);
-    }
-
-    /// Gives the connection back to the pool once it is free.
-    pub fn give_back(&self, link: Link) {
-        let (shared, id) = (self.shared.clone(), self.id.clone());
-        tokio::spawn(async move {
-            let now = shared.now();
-            shared.pool.keep(id, link, now).await;
-        });
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.shared.fleet().roster.ended(&self.id);
-    }
-}
-
 /// Sends a request to the chosen server and waits for the end; the caller's time is up at `end`.
 pub async fn send(
     shared: &Arc<Shared>,
@@ -262,7 +181,7 @@
             headers.insert(dialect.target.clone(), id);
         }
         Err(e) => {
-            log::error!(target: "requests", server = choice.id.as_str(); "the id cannot be a header: {e}")
+            log::error!(target: "requests", server = choice.id.as_str(); "the id cannot be a header: {e}");
         }
     }
     outgoing
@@ -301,7 +220,7 @@
     let is_own = head
         .headers
         .get(&dialect.attempt)
-        .is_some_and(|id| id.as_bytes() == flight.attempt.as_bytes());
+        .is_some_and(|id| id.as_bytes() == flight.attempt().as_bytes());
     let is_signed = head.headers.contains_key(&dialect.signature);
     if !is_own || (head.status.is_success() && !is_signed) {
         flight.observe(Signal::Lost);
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -71,14 +71,14 @@
     addrs.dedup();
     for addr in addrs {
         let server = rocket(addr, shared.clone()).ignite().await;
-        let server = server.map_err(|e| Error::start("calls", format!("{addr}: {e}")))?;
+        let server = server.map_err(|e| Error::start("calls", &format!("{addr}: {e}")))?;
         tokio::spawn(async move {
             match server.launch().await {
                 Ok(_) => {
-                    log::info!(target: "calls", addr:% = addr; "the server of own calls ended")
+                    log::info!(target: "calls", addr:% = addr; "the server of own calls ended");
                 }
                 Err(e) => {
-                    log::error!(target: "calls", addr:% = addr; "the server of own calls failed: {e}")
+                    log::error!(target: "calls", addr:% = addr; "the server of own calls failed: {e}");
                 }
             }
         });
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -41,7 +41,7 @@
     }
 
     /// Makes the error of a part that cannot start.
-    pub fn start(part: &'static str, what: impl ToString) -> Self {
+    pub fn start(part: &'static str, what: &dyn std::fmt::Display) -> Self {
         Error::Start { code: ResultCode::StartFailed, part, what: what.to_string() }
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,7 +12,7 @@
     types::ErrorObjectOwned,
 };
 use redwingtrestle_core::{
-    process::roster::{ServerEntry, ServerRecord},
+    process::{registration::ServerEntry, roster::ServerRecord},
     version::catalog::CatalogDoc,
 };
 use serde::{Deserialize, Serialize};
@@ -69,7 +69,7 @@
             let (version, servers): (u64, u64) = params.parse()?;
             Ok::<_, ErrorObjectOwned>(state(shared, version, servers))
         })
-        .map_err(|e| Error::start("exchange", e))?;
+        .map_err(|e| Error::start("exchange", &e))?;
     let builder = jsonrpsee::server::Server::builder().set_config(config);
     let server = builder.build(addr).await.map_err(|e| Error::listen("exchange", addr, e))?;
     Ok(server.start(module))
--- /dev/null
+++ b/crates/gateway/src/flight.rs
@@ -0,0 +1,94 @@
+//! A send in flight: it counts as load, and shows something of its server.
+
+use crate::{pool::Link, shared::Shared};
+use redwingtrestle_core::{
+    process::{belief::Signal, registration::ServerId},
+    time::Timestamp,
+};
+use std::sync::Arc;
+
+/// `Flight` counts a send as in flight while it lives, and reports what it showed of the server.
+#[derive(Debug)]
+pub struct Flight {
+    shared: Arc<Shared>,
+    id: ServerId,
+    attempt: Arc<str>,
+    begun: Timestamp,
+    is_slow: bool,
+}
+
+impl Flight {
+    /// Begins a send.
+    pub fn begin(shared: &Arc<Shared>, id: &ServerId, attempt: &Arc<str>) -> Self {
+        shared.fleet().roster.sent(shared.now(), id);
+        Flight {
+            shared: shared.clone(),
+            id: id.clone(),
+            attempt: attempt.clone(),
+            begun: shared.now(),
+            is_slow: false,
+        }
+    }
+
+    /// Returns the server's id.
+    pub fn server(&self) -> &str {
+        self.id.as_str()
+    }
+
+    /// Returns the id of the caller's attempt.
+    pub fn attempt(&self) -> &str {
+        &self.attempt
+    }
+
+    /// Takes a signal into account, and sends it to the other nodes at once if it is bad.
+    pub fn observe(&mut self, signal: Signal) {
+        let now = self.shared.now();
+        self.shared.fleet().roster.observe(now, &self.id, signal, self.begun);
+        if signal != Signal::Success {
+            self.shared.urgent.notify_one();
+        }
+    }
+
+    /// Notes a good answer. One that took very long says nothing good about the server.
+    pub fn succeed(&mut self) {
+        if !self.is_slow {
+            self.observe(Signal::Success);
+        }
+    }
+
+    /// Notes a refusal. A server that refuses work while it has free slots is failing, not full.
+    pub fn shed(&mut self) {
+        let is_full = {
+            let fleet = self.shared.fleet();
+            let now = self.shared.now();
+            let roster = &fleet.roster;
+            roster
+                .member(&self.id)
+                .is_none_or(|m| m.load(roster.options().report_age, now) > m.entry().slots)
+        };
+        if !is_full {
+            self.observe(Signal::Slow);
+        }
+    }
+
+    /// Notes that the answer takes much longer than usual.
+    pub fn slow(&mut self) {
+        self.is_slow = true;
+        self.observe(Signal::Slow);
+    }
+
+    /// Gives the connection back to the pool once it is free.
+    pub fn give_back(&self, link: Link) {
+        let (shared, id) = (self.shared.clone(), self.id.clone());
+        tokio::spawn(async move {
+            let now = shared.now();
+            shared.pool.keep(id, link, now).await;
+        });
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.shared.fleet().roster.ended(&self.id);
+    }
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -8,7 +8,7 @@
 use redwingtrestle_core::{
     process::{
         feed::{Feed, Step},
-        roster::ServerEntry,
+        registration::ServerEntry,
     },
     time::Span,
 };
@@ -32,6 +32,15 @@
     }
 }
 
+/// Notes a failed call, and returns the pause before the next one.
+fn failed(fleet: &mut Fleet, stream: Stream) -> Span {
+    let Fleet { servers, configuration, rng, .. } = fleet;
+    match stream {
+        Stream::Configuration => configuration.failed(rng),
+        Stream::Servers => servers.failed(rng),
+    }
+}
+
 /// Follows `stream` until the process ends.
 pub async fn follow<S: Store>(shared: Arc<Shared>, store: S, stream: Stream) {
     let name: &'static str = stream.into();
@@ -83,12 +92,7 @@
     if step == Step::Newest {
         if !feed(&mut shared.fleet(), stream).snapshot(end) {
             log::warn!(target: "store", stream:% = stream, end; "the snapshot is older than what is known");
-            let mut fleet = shared.fleet();
-            let Fleet { servers, configuration, rng, .. } = &mut *fleet;
-            return Some(match stream {
-                Stream::Configuration => configuration.failed(rng),
-                Stream::Servers => servers.failed(rng),
-            });
+            return Some(failed(&mut shared.fleet(), stream));
         }
     } else {
         feed(&mut shared.fleet(), stream).changes(end);
@@ -105,7 +109,7 @@
                 shared.install(&doc, source);
             }
             Record::Server(_, Some(entry)) if step == Step::Newest => {
-                entries.push((*entry, position))
+                entries.push((*entry, position));
             }
             Record::Server(id, entry) => {
                 shared.register(&id, position, entry.map(|e| *e), source);
@@ -130,15 +134,9 @@
         return None;
     }
     fleet.roster.store_away(now);
-    let Fleet { servers, configuration, rng, .. } = &mut *fleet;
-    let feed = match stream {
-        Stream::Configuration => configuration,
-        Stream::Servers => servers,
-    };
-    let is_first = !feed.is_away();
-    let pause = feed.failed(rng);
-    // A connection that was cut may have lost records, and a store that comes back may have dropped its history.
-    let position = feed.position();
+    let is_first = !feed(&mut fleet, stream).is_away();
+    let pause = failed(&mut fleet, stream);
+    let position = feed(&mut fleet, stream).position();
     drop(fleet);
     if is_first {
         log::warn!(target: "store", stream:% = stream, step:? = step, position:? = position,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,7 +43,7 @@
     thread::Builder::new()
         .name("control".into())
         .spawn(move || control.block_on(std::future::pending::<()>()))
-        .map_err(|e| Error::start("control", e))?;
+        .map_err(|e| Error::start("control", &e))?;
     let result = entry.block_on(async {
         tokio::spawn(accept::serve(shared.clone(), listener));
         wait(&shared, path).await?;
@@ -55,7 +55,7 @@
 }
 
 fn runtime() -> Result<Runtime> {
-    Builder::new_current_thread().enable_all().build().map_err(|e| Error::start("runtime", e))
+    Builder::new_current_thread().enable_all().build().map_err(|e| Error::start("runtime", &e))
 }
 
 /// Starts the duties of the control thread: the store, other nodes, and the gateway's own calls.
@@ -75,7 +75,7 @@
 
 /// Waits for SIGTERM or SIGINT, and notices changed settings meanwhile.
 async fn wait(shared: &Shared, path: PathBuf) -> Result<()> {
-    let listen = |kind| signal(kind).map_err(|e| Error::start("signals", e));
+    let listen = |kind| signal(kind).map_err(|e| Error::start("signals", &e));
     let mut terminate = listen(SignalKind::terminate())?;
     let mut interrupt = listen(SignalKind::interrupt())?;
     let mut hang_up = listen(SignalKind::hangup())?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! The gateway of redwingtrestle: entries for callers of any dialect before backend servers that register themselves.
 //!
-//! A request walks through the modules in one direction: [`accept`], [`request`], [`attempt`], [`pool`], and back as a
-//! [`reply`]. What nodes share comes from the platform's store ([`follow`]), from other nodes ([`peers`],
+//! A request walks through the modules in one direction: [`accept`], [`request`], [`job`], [`attempt`], [`pool`], and
+//! back as a [`reply`]. What nodes share comes from the platform's store ([`follow`]), from other nodes ([`peers`],
 //! [`exchange`]), and stands in one place ([`shared`]). The decisions are in `redwingtrestle-core`; see
 //! `docs/platform.md`.
 
@@ -14,12 +14,16 @@
 pub mod dialect;
 pub mod error;
 pub mod exchange;
+pub mod flight;
 pub mod follow;
 pub mod gateway;
+pub mod job;
 pub mod logs;
 pub mod memory;
+pub mod outgoing;
 pub mod peers;
 pub mod pool;
+pub mod progress;
 pub mod reply;
 pub mod request;
 pub mod settings;
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -5,7 +5,7 @@
     store::{Store, StoreError},
 };
 use redwingtrestle_core::{
-    process::roster::ServerId,
+    process::registration::ServerId,
     time::{Span, Timestamp},
 };
 use serde::{Deserialize, Serialize};
@@ -65,7 +65,7 @@
         if !is_announced && shared.is_reader() {
             let peer = shared.settings.peer.to_string();
             let result = store.save(&format!("{NODE}{peer}"), peer.as_bytes()).await;
-            is_announced = is_done("announce this node", result);
+            is_announced = is_done("announce this node", &result);
         }
         if is_writer {
             was_empty = save(&shared, &store, was_empty).await;
@@ -88,13 +88,13 @@
             return was_empty;
         }
     };
-    is_done("save the failing servers", store.save(SUSPECTS, &bytes).await) && is_empty
+    is_done("save the failing servers", &store.save(SUSPECTS, &bytes).await) && is_empty
 }
 
 /// Returns whether a write succeeded, and logs why it did not. Writes that got no answer are simply repeated, as the
 /// newest value of a key wins.
-fn is_done(what: &str, result: Result<(), StoreError>) -> bool {
-    if let Err(e) = &result {
+fn is_done(what: &str, result: &Result<(), StoreError>) -> bool {
+    if let Err(e) = result {
         log::warn!(target: "memory", what; "the store did not take a value: {e}");
     }
     result.is_ok()
@@ -117,7 +117,7 @@
                     shared.fleet().mesh.named(now, addr);
                 }
                 Err(e) => {
-                    log::warn!(target: "memory", key = key.as_str(); "a saved node is left out: {e}")
+                    log::warn!(target: "memory", key = key.as_str(); "a saved node is left out: {e}");
                 }
             }
         } else if key == SUSPECTS {
--- /dev/null
+++ b/crates/gateway/src/outgoing.rs
@@ -0,0 +1,124 @@
+//! Requests as they go to backend servers, and their bodies.
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::{
+    body::{Body, Frame, Incoming, SizeHint},
+    header::HeaderMap,
+    Method, Uri,
+};
+use redwingtrestle_core::{codes::ResultCode, ids::ServiceName};
+use std::{
+    io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
+/// The longest request body that is kept, so that it can be sent again. A longer one is passed on as it arrives.
+const KEPT_BODY: usize = 256 * 1024;
+
+/// `Outgoing` is a request as it goes to servers, without its body and the headers that differ by server.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// The method.
+    pub method: Method,
+    /// The path and query.
+    pub uri: Uri,
+    /// The headers of the caller that are passed on.
+    pub headers: HeaderMap,
+    /// The id of the caller's attempt.
+    pub attempt: Arc<str>,
+    /// The service.
+    pub service: ServiceName,
+    /// Whether the request must not run twice.
+    pub once: bool,
+}
+
+/// `OutBody` is a request body: what was read already, and the rest if it is too long to be kept.
+#[derive(Debug, Default)]
+pub struct OutBody {
+    first: Option<Bytes>,
+    rest: Option<Incoming>,
+    left: u64,
+}
+
+impl OutBody {
+    /// Returns the body once more, if all of it was kept.
+    pub fn again(&self) -> Option<OutBody> {
+        self.rest.is_none().then(|| OutBody { first: self.first.clone(), rest: None, left: 0 })
+    }
+}
+
+impl Body for OutBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
+        let frame = match Pin::new(rest).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => frame,
+            Poll::Ready(Some(Err(e))) => return Poll::Ready(Some(Err(io::Error::other(e)))),
+            Poll::Ready(None) => return Poll::Ready(None),
+            Poll::Pending => return Poll::Pending,
+        };
+        let length = frame.data_ref().map_or(0, Bytes::len) as u64;
+        if length > self.left {
+            return Poll::Ready(Some(Err(io::Error::other("the body is larger than the limit"))));
+        }
+        self.left -= length;
+        Poll::Ready(Some(Ok(frame)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_none() && self.rest.as_ref().is_none_or(Body::is_end_stream)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
+        match self.rest.as_ref().map_or(Some(0), |rest| rest.size_hint().exact()) {
+            Some(rest) => SizeHint::with_exact(first + rest),
+            None => SizeHint::default(),
+        }
+    }
+}
+
+/// Reads a request body, or its beginning if it is too long to be kept.
+pub async fn read(
+    mut body: Incoming,
+    limit: u64,
+    time: std::time::Duration,
+) -> Result<OutBody, ResultCode> {
+    if body.size_hint().lower() > limit {
+        return Err(ResultCode::BodyTooLarge);
+    }
+    if body.size_hint().lower() > KEPT_BODY as u64 {
+        return Ok(OutBody { first: None, rest: Some(body), left: limit });
+    }
+    let mut bytes = BytesMut::new();
+    let reading = async {
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame.map_err(|_| ResultCode::BadRequest)?.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+            if bytes.len() > KEPT_BODY {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    };
+    let is_long =
+        tokio::time::timeout(time, reading).await.map_err(|_| ResultCode::DeadlineUnmet)??;
+    if bytes.len() as u64 > limit {
+        return Err(ResultCode::BodyTooLarge);
+    }
+    let left = limit - bytes.len() as u64;
+    let first = (!bytes.is_empty()).then(|| bytes.freeze());
+    Ok(OutBody { first, rest: is_long.then_some(body), left })
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,8 +4,8 @@
 use redwingtrestle_core::{
     ids::DataCentre,
     process::{
+        member::{Counts, ServerReport},
         mesh::{Hello, NodeState},
-        roster::{Counts, ServerReport},
     },
     time::{Span, Timestamp},
 };
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,10 +1,10 @@
 //! Open connections to backend servers.
 
-use crate::request::OutBody;
+use crate::outgoing::OutBody;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use redwingtrestle_core::{
-    process::roster::ServerId,
+    process::registration::ServerId,
     time::{Span, Timestamp},
 };
 use std::{
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -1,6 +1,6 @@
 //! Answers to callers: whole ones, and those that are passed on while they arrive.
 
-use crate::{accept::Busy, attempt::Flight, pool::Link, shared::OpenGuard};
+use crate::{flight::Flight, pool::Link, progress::Busy, shared::OpenGuard};
 use bytes::Bytes;
 use hyper::{
     body::{Body, Frame, Incoming, SizeHint},
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,7 +1,7 @@
 //! What a gateway needs of the platform's store.
 
 use redwingtrestle_core::{
-    process::roster::{ServerEntry, ServerId},
+    process::registration::{ServerEntry, ServerId},
     version::catalog::CatalogDoc,
 };
 use snafu::Snafu;
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use redwingtrestle_core::{
-    process::roster::{EntryState, ServerEntry, ServerId},
+    process::registration::{EntryState, ServerEntry, ServerId},
     time::Span,
     version::catalog::{CallerLimits, CatalogDoc, HostRoute, Part, Repeat},
 };
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{catalog, get, header, post, Act, Backend, Caller, World};
-use redwingtrestle_core::process::roster::EntryState;
+use redwingtrestle_core::process::registration::EntryState;
 use redwingtrestle_gateway::store::{Record, Stream};
 use std::time::Duration;
 
