--- a/crates/core/src/process/belief.rs
+++ b/crates/core/src/process/belief.rs
@@ -1,6 +1,6 @@
 //! The probability that a backend server is in a failing phase.
 
-use crate::time::Timestamp;
+use crate::time::{Span, Timestamp};
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter, IntoStaticStr};
 
@@ -96,6 +96,11 @@
         rest + (self.failing - rest) * kept
     }
 
+    /// Returns how long ago the newest signal came.
+    pub fn age(&self, now: Timestamp) -> Span {
+        now.since(self.at)
+    }
+
     /// Takes a signal into account.
     ///
     /// `share` scales the evidence: 1 is a signal that was seen here, less is one whose cause may lie elsewhere.
--- a/crates/core/src/process/member.rs
+++ b/crates/core/src/process/member.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Returns how long ago any node saw something of the server.
+    pub fn age(&self, now: Timestamp) -> Span {
+        self.shared.age(now)
+    }
+
     /// Returns whether any node is known to have sent a request there within `window`.
     pub fn is_used(&self, now: Timestamp, window: Span) -> bool {
         self.used.is_some_and(|used| now.since(used) < window)
--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -74,6 +74,8 @@
     pub addr: SocketAddr,
     /// The probability that the request fails there.
     pub failure: f64,
+    /// How long ago the newest signal of the server came.
+    pub age: Span,
     /// The known requests in flight there, of all nodes.
     pub load: u32,
     /// How surely the answer is late, from 0 to 1, because of what already waits there.
@@ -186,6 +188,7 @@
         id: member.entry().id.clone(),
         addr: member.entry().addr,
         failure: member.failure(&roster.options().belief, now),
+        age: member.age(now),
         load: member.load(roster.options().report_age, now),
         late: loss(options, roster, now, member, ask, work).late,
         among,
--- a/crates/core/src/process/roster.rs
+++ b/crates/core/src/process/roster.rs
@@ -251,6 +251,11 @@
         }
     }
 
+    /// Forgets a server whose address another one has now. A newer record of it brings it back.
+    pub fn displaced(&mut self, id: &ServerId) {
+        self.remove(id);
+    }
+
     /// Forgets servers whose registration ended long ago.
     pub fn tick(&mut self, now: Timestamp) {
         let old: Vec<ServerId> = self
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -273,7 +273,7 @@
 
 async fn not_run(mut flight: Flight, is_elsewhere: bool, body: Incoming, link: Link) -> Ended {
     if is_elsewhere {
-        flight.observe(Signal::Unreachable);
+        flight.displaced();
         return Ended::NotRun(NotRun::Misdirected);
     }
     flight.shed();
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -49,6 +49,14 @@
         }
     }
 
+    /// Notes that another server has the address now, so that no request goes there any more.
+    pub fn displaced(&self) {
+        log::info!(target: "servers", server = self.server(), attempt = self.attempt();
+            "another server has the address");
+        self.shared.fleet().roster.displaced(&self.id);
+        self.shared.pool.forget(&self.id);
+    }
+
     /// Notes a good answer. One that took very long says nothing good about the server.
     pub fn succeed(&mut self) {
         if !self.is_slow {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -87,6 +87,7 @@
     is_shed: bool,
     fallback: Option<Answer>,
     last: String,
+    choice: Option<Choice>,
 }
 
 impl Job {
@@ -120,6 +121,7 @@
                         again = next.again();
                         course.tried.push(choice.id.clone());
                         course.sends += 1;
+                        course.choice = Some(choice.clone());
                         running.push(self.send(choice, next).boxed());
                     }
                     None if running.is_empty() => return self.give_up(course),
@@ -195,7 +197,8 @@
             }
             Ended::NotRun(why) => {
                 course.is_shed = why == NotRun::Shed;
-                if matches!(why, NotRun::Unreachable | NotRun::Unsent) {
+                // Only a refusal of the server itself used up one of the servers that the route allows.
+                if why != NotRun::Shed {
                     course.sends -= 1;
                 }
                 course.last = label.into();
@@ -324,9 +327,14 @@
         metrics::histogram!("redwing_gateway_request_seconds", "service" => service.to_string())
             .record(took.as_secs_f64());
         let servers: Vec<&str> = course.tried.iter().map(ServerId::as_str).collect();
+        // What decided the last choice: what was believed of the server, how old that was, and the load there.
+        let choice = course.choice.as_ref();
         log::info!(target: "requests", attempt = &*self.outgoing.attempt, route = &*self.route.name, service,
             version = self.version, servers = servers.join(","), sends = course.sends, status,
-            ms = took.as_millis(), last = course.last.as_str(); "{result}");
+            ms = took.as_millis(), last = course.last.as_str(),
+            failing = choice.map(|c| (c.failure * 100.0) as u64), age_ms = choice.map(|c| c.age.as_millis()),
+            load = choice.map(|c| c.load), late = choice.map(|c| (c.late * 100.0) as u64),
+            among = choice.map(|c| c.among); "{result}");
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,7 +7,7 @@
     outgoing::{self, OutBody, Outgoing},
     progress::Busy,
     reply::{self, ReplyBody},
-    shared::{OpenGuard, Phase, Shared},
+    shared::{Phase, Shared},
 };
 use hyper::{
     body::Incoming,
@@ -41,10 +41,7 @@
         .into();
     let is_head = request.method() == Method::HEAD;
     let verdict = match prepare(&shared, request, begun, &attempt).await {
-        Ok((job, body)) => {
-            let open = shared.open();
-            dispatch(job, body, open).await
-        }
+        Ok((job, body)) => dispatch(&shared, job, body).await,
         Err(code) => {
             log::info!(target: "requests", attempt = &*attempt, code = code.number(),
                 version = shared.catalog.load().as_ref().map_or(0, |c| c.version()); "refused: {code}");
@@ -124,10 +121,11 @@
 
 /// Runs a job. One that must not run twice goes on when its caller leaves, as breaking it off would leave its effect
 /// unknown; any other ends with its caller.
-async fn dispatch(job: Job, body: OutBody, open: OpenGuard) -> Verdict {
+async fn dispatch(shared: &Arc<Shared>, job: Job, body: OutBody) -> Verdict {
     if !job.outgoing.once {
         return job.run(body).await;
     }
+    let open = shared.open();
     let task = tokio::spawn(async move {
         let verdict = job.run(body).await;
         drop(open);
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -288,3 +288,17 @@
     tokio::time::sleep(Duration::from_millis(50)).await;
     assert_eq!(world.call(&post("r3")).await.status, 200);
 }
+
+/// Guards against requests that are sent again and again to an address which another server has, and against a refusal
+/// for which that address used up the servers that the route allows.
+#[tokio::test]
+async fn reused_address_is_left_at_once() {
+    let moved =
+        [Backend::start("i-1", Act::Elsewhere).await, Backend::start("i-2", Act::Elsewhere).await];
+    let server = Backend::start("i-3", Act::Serve).await;
+    let world = World::with(&[&moved[0], &moved[1], &server]).await;
+    for i in 0..30 {
+        assert_eq!(world.call(&post(&format!("r{i}"))).await.status, 200);
+    }
+    assert!(moved.iter().all(|m| m.seen().len() <= 1), "asked again");
+}
