Ask the store again when the answer to a watch was lost

Now the node that writes for the fleet waits 2 s at most, and a reader that sees another node ahead asks again. lost_answer_of_the_store_is_asked_for_again failed before.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,9 +14,16 @@
 };
 use std::{sync::Arc, time::Duration};
 
-/// How long a watch waits for a record. Each call is priced, and a silent connection is found by its own means.
+/// How long a watch waits for a record. Each call is priced.
 const WATCH: Duration = Duration::from_secs(25);
 
+/// How long the watch of the one node that writes for the fleet waits. An answer that the store lost shows only by the
+/// end of the wait; the others see by this node's position that theirs was lost.
+const SHORT_WATCH: Duration = Duration::from_secs(2);
+
+/// How much later than the wait an answer may come.
+const LATE: Duration = Duration::from_millis(1_000);
+
 /// The pause after an answer. Records that come in quick succession then share a call, as each call is priced; it is
 /// short beside the two seconds within which a change must be in force.
 const GATHER: Span = Span::from_millis(200);
@@ -48,9 +55,9 @@
         wait_for_turn(&shared, stream).await;
         let step = feed(&mut shared.fleet(), stream).step();
         let result = tokio::select! {
-            result = call(&store, stream, step) => result,
+            result = call(&shared, &store, stream, step) => result,
             () = shared.refresh.notified() => {
-                feed(&mut shared.fleet(), stream).expired();
+                log::info!(target: "store", stream:% = stream, step:? = step; "asking again at once");
                 continue;
             }
         };
@@ -78,11 +85,17 @@
     }
 }
 
-async fn call<S: Store>(store: &S, stream: Stream, step: Step) -> Result<Batch, StoreError> {
-    match step {
-        Step::Newest => store.newest(stream).await,
-        Step::Watch(from) => store.watch(stream, from, WATCH).await,
-    }
+async fn call<S: Store>(
+    shared: &Shared,
+    store: &S,
+    stream: Stream,
+    step: Step,
+) -> Result<Batch, StoreError> {
+    let Step::Watch(from) = step else { return store.newest(stream).await };
+    let wait = if shared.is_writer() { SHORT_WATCH } else { WATCH };
+    let watch = tokio::time::timeout(wait + LATE, store.watch(stream, from, wait));
+    let lost = || StoreError::Unreachable { what: "the answer was lost".into() };
+    watch.await.unwrap_or_else(|_| Err(lost()))
 }
 
 /// Takes an answer, and returns how long to wait before the next call.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -299,10 +299,14 @@
             self.shared.read_alone(ALONE);
             self.behind = Some(now);
         }
-        let is_waiting = version > 0 && self.shared.is_reader() && now.since(since) < BEHIND;
-        if is_waiting || now.since(self.asked) < ASK {
+        let is_reader = version > 0 && self.shared.is_reader();
+        if (is_reader && now.since(since) < BEHIND) || now.since(self.asked) < ASK {
             return;
         }
+        if is_reader {
+            // The answer to this node's own watch was lost.
+            self.shared.refresh.notify_waiters();
+        }
         self.asked = now;
         tokio::spawn(exchange::fetch(self.shared.clone(), newer));
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -172,6 +172,11 @@
         alone.is_some_and(|until| now < until) || self.fleet().mesh.is_reader(now)
     }
 
+    /// Returns whether this node writes to the store for the whole fleet.
+    pub fn is_writer(&self) -> bool {
+        self.fleet().mesh.is_writer(self.now())
+    }
+
     /// Makes this node follow the store itself for a while.
     pub fn read_alone(&self, time: Span) {
         *self.alone.lock().unwrap_or_else(PoisonError::into_inner) = Some(self.now() + time);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -18,7 +18,10 @@
 use std::{
     collections::HashMap,
     net::{SocketAddr, TcpListener as StdListener},
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc, Mutex,
+    },
     time::{Duration, Instant},
 };
 use tokio::{
@@ -35,6 +38,7 @@
 pub(crate) struct MemoryStore {
     records: Arc<Mutex<HashMap<&'static str, Vec<Record>>>>,
     changed: Arc<Notify>,
+    lost: Arc<AtomicU32>,
 }
 
 impl MemoryStore {
@@ -49,6 +53,11 @@
         self.append(Stream::Servers, Record::Server(entry.id.clone(), Some(Box::new(entry))));
     }
 
+    /// Makes the store lose the answers of this many watches.
+    pub(crate) fn lose(&self, watches: u32) {
+        self.lost.store(watches, Ordering::SeqCst);
+    }
+
     fn read(&self, stream: Stream, from: u64) -> Batch {
         let name: &'static str = stream.into();
         let records = self.records.lock().unwrap().get(name).cloned().unwrap_or_default();
@@ -65,6 +74,12 @@
 
     async fn watch(&self, stream: Stream, from: u64, wait: Duration) -> Result<Batch, StoreError> {
         let until = tokio::time::Instant::now() + wait;
+        let lost = self.lost.clone();
+        let lose =
+            lost.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1));
+        if lose.is_ok() {
+            std::future::pending::<()>().await;
+        }
         loop {
             let changed = self.changed.notified();
             let batch = self.read(stream, from);
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -274,6 +274,23 @@
     assert!(leaving.seen().is_empty());
 }
 
+/// Guards against a watch whose answer the store lost and that is waited for while servers leave.
+#[tokio::test]
+async fn lost_answer_of_the_store_is_asked_for_again() {
+    let server = Backend::start("i-1", Act::Serve).await;
+    let world = World::with(&[&server]).await;
+    world.store.lose(1);
+    world.store.register(server.entry(EntryState::Ready, 2));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    world.store.register(server.entry(EntryState::Draining, 3));
+    let orders = "orders".into();
+    world
+        .until("the server is known to leave", || {
+            world.shared.fleet().roster.usable(world.shared.now(), &orders).is_empty()
+        })
+        .await;
+}
+
 /// Guards against an idle connection that the server has closed and that fails the next order.
 #[tokio::test]
 async fn closed_idle_connection_fails_no_order() {
