--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -133,8 +133,8 @@
         .filter(|m| !ask.tried.contains(&m.entry().id) && m.in_flight() < ask.limit)
         .map(|m| (*m, loss(options, roster, now, m, ask, work)))
         .collect();
-    if let Some(member) = below_floor(options, now, &usable, &open, ask, rng) {
-        return Some(choice(options, roster, now, member, ask, work, open.len()));
+    if let Some(unused) = below_floor(options, now, &usable, &open, ask, rng) {
+        return Some(choice(roster, now, unused, open.len()));
     }
     let least = open.iter().map(|(_, loss)| loss.all).min_by(f64::total_cmp)?;
     let weights: Vec<f64> =
@@ -144,8 +144,8 @@
         point -= w;
         point < 0.0
     });
-    let (member, _) = open[index.unwrap_or(open.len() - 1)];
-    Some(choice(options, roster, now, member, ask, work, open.len()))
+    let drawn = open[index.unwrap_or(open.len() - 1)];
+    Some(choice(roster, now, drawn, open.len()))
 }
 
 /// Returns a server that has to be used because too few of the service are, one of those with the least expected loss.
@@ -160,7 +160,7 @@
     open: &[(&'a Member, Loss)],
     ask: &Ask<'_>,
     rng: &mut impl Rng,
-) -> Option<&'a Member> {
+) -> Option<(&'a Member, Loss)> {
     let used = usable.iter().filter(|m| m.is_used(now, IN_USE)).count();
     let share = (options.floor + FLOOR_MARGIN * options.floor.ceil()).min(1.0);
     let lack = ((usable.len() as f64 * share).ceil() as usize).saturating_sub(used);
@@ -172,16 +172,13 @@
         open.iter().filter(|(m, _)| !m.is_used(now, IN_USE) && is_near(m)).collect();
     unused.sort_by(|(_, a), (_, b)| a.all.total_cmp(&b.all));
     unused.truncate(lack);
-    unused.choose(rng).map(|(m, _)| *m)
+    unused.choose(rng).map(|drawn| **drawn)
 }
 
 fn choice(
-    options: &PickerOptions,
     roster: &Roster,
     now: Timestamp,
-    member: &Member,
-    ask: &Ask<'_>,
-    work: Span,
+    (member, loss): (&Member, Loss),
     among: usize,
 ) -> Choice {
     Choice {
@@ -190,7 +187,7 @@
         failure: member.failure(&roster.options().belief, now),
         age: member.age(now),
         load: member.load(roster.options().report_age, now),
-        late: loss(options, roster, now, member, ask, work).late,
+        late: loss.late,
         among,
     }
 }
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -16,7 +16,7 @@
 };
 use tokio::time::Sleep;
 
-/// The headers that concern one connection only.
+/// The headers that concern one connection only (RFC 9110, section 7.6.1).
 const HOP: [&str; 9] = [
     "connection",
     "keep-alive",
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -23,9 +23,10 @@
     },
     time::Timestamp,
 };
+use redwingtrestle_gateway::reply::strip_hop;
 use redwingtrestle_wire::caller::{self, RefusalBody};
 use reqwest::{
-    header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH},
+    header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, EXPECT},
     Method,
 };
 use std::{
@@ -648,35 +649,11 @@
     }
 }
 
-/// The headers that concern one connection only (RFC 9110, section 7.6.1) and are not passed on.
-const HOP_BY_HOP: &[&str] = &[
-    "connection",
-    "expect",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Returns the headers without those that concern one connection only.
 pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let named: Vec<String> = headers
-        .get_all("connection")
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .map(|v| v.trim().to_ascii_lowercase())
-        .collect();
-    let mut kept = HeaderMap::new();
-    for (name, value) in headers {
-        let hop = HOP_BY_HOP.contains(&name.as_str()) || named.iter().any(|n| n == name.as_str());
-        if !hop && name != CONTENT_LENGTH {
-            kept.append(name.clone(), value.clone());
-        }
-    }
+    let mut kept = headers.clone();
+    strip_hop(&mut kept);
+    kept.remove(EXPECT);
+    kept.remove(CONTENT_LENGTH);
     kept
 }
