--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -161,8 +161,11 @@
     ask: &Ask<'_>,
     rng: &mut impl Rng,
 ) -> Option<(&'a Member, Loss)> {
+    if options.floor == 0.0 || open.is_empty() {
+        return None;
+    }
     let used = usable.iter().filter(|m| m.is_used(now, IN_USE)).count();
-    let share = (options.floor + FLOOR_MARGIN * options.floor.ceil()).min(1.0);
+    let share = (options.floor + FLOOR_MARGIN).min(1.0);
     let lack = ((usable.len() as f64 * share).ceil() as usize).saturating_sub(used);
     if rng.random_range(0..usable.len()) >= lack {
         return None;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -108,9 +108,9 @@
             };
             let body = again.unwrap_or_default();
             let result = exchange(shared, choice, request, body, end, link, &mut flight).await;
-            finish(shared, result, flight, false).await
+            finish(shared, result, flight, false, end).await
         }
-        result => finish(shared, result, flight, was_used).await,
+        result => finish(shared, result, flight, was_used, end).await,
     }
 }
 
@@ -193,6 +193,7 @@
     result: Result<(Response<Incoming>, Link), Failed>,
     mut flight: Flight,
     was_used: bool,
+    end: Timestamp,
 ) -> Ended {
     let (response, mut link) = match result {
         Ok(pair) => pair,
@@ -239,7 +240,7 @@
         }
         Ok(Collected::Part(first, rest)) => {
             let status = head.status;
-            let end = Box::pin(tokio::time::sleep(std::time::Duration::from_secs(3600)));
+            let end = Box::pin(tokio::time::sleep(duration(end.since(shared.now()))));
             let passing = Passing { first: Some(first), rest, end, flight, link: Some(link) };
             let answer = Answer {
                 status,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -181,12 +181,8 @@
         log::debug!(target: "requests", attempt = &*self.outgoing.attempt, server = choice.id.as_str(),
             end = label; "a send ended");
         match ended {
-            Ended::Answer(mut answer) => {
+            Ended::Answer(answer) => {
                 self.learn_size(&answer);
-                if let AnswerBody::Passing(passing) = &mut answer.body {
-                    passing.end =
-                        Box::pin(tokio::time::sleep(duration(self.end.since(self.shared.now()))));
-                }
                 course.last = label.into();
                 return Some(Verdict::Answer(answer));
             }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -78,7 +78,9 @@
     pub fn set_idle(&mut self, stated: Option<u64>) {
         if let Some(seconds) = stated {
             let (part, whole) = IDLE_PART;
-            self.idle = Span::from_millis(seconds * 1_000 * part / whole).min(IDLE);
+            self.idle =
+                Span::from_millis(seconds.saturating_mul(1_000).saturating_mul(part) / whole)
+                    .min(IDLE);
         }
     }
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -39,6 +39,7 @@
     records: Arc<Mutex<HashMap<&'static str, Vec<Record>>>>,
     changed: Arc<Notify>,
     lost: Arc<AtomicU32>,
+    saved: Arc<Mutex<HashMap<String, Vec<u8>>>>,
 }
 
 impl MemoryStore {
@@ -53,6 +54,17 @@
         self.append(Stream::Servers, Record::Server(entry.id.clone(), Some(Box::new(entry))));
     }
 
+    /// Returns whether a saved value holds a text.
+    pub(crate) fn holds(&self, key: &str, text: &str) -> bool {
+        let saved = self.saved.lock().unwrap();
+        saved.get(key).is_some_and(|value| String::from_utf8_lossy(value).contains(text))
+    }
+
+    /// Saves a value as another writer would.
+    pub(crate) fn put(&self, key: &str, value: &str) {
+        self.saved.lock().unwrap().insert(key.into(), value.into());
+    }
+
     /// Makes the store lose the answers of this many watches.
     pub(crate) fn lose(&self, watches: u32) {
         self.lost.store(watches, Ordering::SeqCst);
@@ -91,10 +103,11 @@
     }
 
     async fn saved(&self) -> Result<Vec<(String, Vec<u8>)>, StoreError> {
-        Ok(Vec::new())
+        Ok(self.saved.lock().unwrap().clone().into_iter().collect())
     }
 
-    async fn save(&self, _key: &str, _value: &[u8]) -> Result<(), StoreError> {
+    async fn save(&self, key: &str, value: &[u8]) -> Result<(), StoreError> {
+        self.saved.lock().unwrap().insert(key.into(), value.into());
         Ok(())
     }
 }
@@ -390,6 +403,11 @@
 impl World {
     /// Starts a gateway that knows nothing yet.
     pub(crate) async fn empty() -> World {
+        World::at(MemoryStore::default()).await
+    }
+
+    /// Starts a gateway at a store.
+    pub(crate) async fn at(store: MemoryStore) -> World {
         let entry = free();
         let text = format!(
             r#"{{"node": "n", "entry": "{entry}", "health": "{}", "directory": "{}", "peer": "{}",
@@ -401,7 +419,6 @@
         );
         let settings = Settings::parse(&text).expect("settings");
         let shared = Arc::new(Shared::new(settings, Dialect::default()));
-        let store = MemoryStore::default();
         let listener = accept::bind(&shared).unwrap();
         tokio::spawn(accept::serve(shared.clone(), listener));
         for stream in [Stream::Configuration, Stream::Servers] {
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -319,3 +319,13 @@
     }
     assert!(moved.iter().all(|m| m.seen().len() <= 1), "asked again");
 }
+
+/// Guards against a request that ends a connection, or is held, because its service has no server.
+#[tokio::test]
+async fn service_without_servers_refuses_at_once() {
+    let world = World::with(&[]).await;
+    let reply = world.call(&post("r1")).await;
+    assert_eq!(reply.status, 503);
+    assert!(!header(&reply.head, "retry-after").is_empty());
+    assert!(reply.took < Duration::from_millis(400), "{:?}", reply.took);
+}
