Ask one node at a time, drawn among those that know most

Ruled out: the store, which answered. Now a node asks one other at a time, drawn at random, and interrupts its watch at most every 2 s.

--- a/crates/core/src/process/mesh.rs
+++ b/crates/core/src/process/mesh.rs
@@ -245,14 +245,23 @@
         self.alive(now).filter(move |(addr, h)| is_before(*addr, h)).map(|(_, h)| h)
     }
 
-    /// Returns a node that knows a newer configuration or newer registrations.
-    pub fn newer(&self, now: Timestamp, version: u64, servers: u64) -> Option<SocketAddr> {
+    /// Returns one of the nodes that know most, if they know a newer configuration or newer registrations.
+    ///
+    /// It is drawn at random, those of the own data centre first: a large configuration spreads from node to node, and
+    /// does not fill the link of the one that had it first.
+    pub fn newer(
+        &self,
+        now: Timestamp,
+        version: u64,
+        servers: u64,
+        rng: &mut impl Rng,
+    ) -> Option<SocketAddr> {
         let ahead = |h: &Hello| h.version > version || h.servers > servers;
-        let best = self.alive(now).filter(|(_, h)| ahead(h));
-        let key = |(addr, h): &(SocketAddr, &Hello)| {
-            (h.version, h.servers, h.zone == self.zone, std::cmp::Reverse(*addr))
-        };
-        best.max_by_key(key).map(|(addr, _)| addr)
+        let key = |h: &Hello| (h.version, h.servers);
+        let most = self.alive(now).filter(|(_, h)| ahead(h)).map(|(_, h)| key(h)).max()?;
+        let best = || self.alive(now).filter(|(_, h)| key(h) == most);
+        let near = best().filter(|(_, h)| h.zone == self.zone).choose(rng);
+        near.or_else(|| best().choose(rng)).map(|(addr, _)| addr)
     }
 }
 
--- a/crates/core/tests/mesh.rs
+++ b/crates/core/tests/mesh.rs
@@ -77,15 +77,16 @@
 /// Guards against a node that asks one that knows no more than itself.
 #[test]
 fn newest_node_is_asked() {
+    let mut rng = StdRng::seed_from_u64(5);
     let mut mesh = mesh();
-    assert_eq!(mesh.newer(at(100), 3, 9), None);
+    assert_eq!(mesh.newer(at(100), 3, 9, &mut rng), None);
     mesh.heard(at(100), addr(8), Hello { servers: 10, ..hello(8, "b", NodeState::Ready) });
-    assert_eq!(mesh.newer(at(100), 3, 9), Some(addr(8)));
+    assert_eq!(mesh.newer(at(100), 3, 9, &mut rng), Some(addr(8)));
     mesh.heard(at(100), addr(2), Hello { servers: 10, ..hello(2, "a", NodeState::Ready) });
-    assert_eq!(mesh.newer(at(100), 3, 9), Some(addr(2)), "the near one");
+    assert_eq!(mesh.newer(at(100), 3, 9, &mut rng), Some(addr(2)), "the near one");
     mesh.heard(at(100), addr(9), Hello { version: 4, ..hello(9, "b", NodeState::Ready) });
-    assert_eq!(mesh.newer(at(100), 3, 9), Some(addr(9)));
-    assert_eq!(mesh.newer(at(5_000), 0, 0), None, "silent nodes are not asked");
+    assert_eq!(mesh.newer(at(100), 3, 9, &mut rng), Some(addr(9)));
+    assert_eq!(mesh.newer(at(5_000), 0, 0, &mut rng), None, "silent nodes are not asked");
 }
 
 /// Guards against a restarted node that is taken for the one before, and so is not told who is there.
@@ -112,3 +113,13 @@
     let (near, relays) = mesh.report_targets(at(10), &mut rng);
     assert_eq!((near.len(), relays.len()), (options.fan_near, 1));
 }
+
+/// Guards against a whole data centre that fetches a large configuration from one node and fills its link.
+#[test]
+fn nodes_that_know_the_same_are_asked_in_turn() {
+    let mesh = mesh();
+    let mut rng = StdRng::seed_from_u64(5);
+    let asked: std::collections::HashSet<_> =
+        (0..50).filter_map(|_| mesh.newer(at(100), 2, 9, &mut rng)).collect();
+    assert_eq!(asked, [1, 2, 3, 4].map(addr).into_iter().collect());
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -28,7 +28,7 @@
 const MAX_CONNECTIONS: u32 = 64;
 
 /// How long a call may take. The next tick tries another node.
-const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// `StateDoc` is what one node tells another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,7 +10,13 @@
     time::{Span, Timestamp},
 };
 use serde::{Deserialize, Serialize};
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+};
 use tokio::net::UdpSocket;
 
 /// The largest datagram in bytes, which fits the usual links in one packet.
@@ -28,8 +34,8 @@
 /// How long a bad signal waits for others of the same moment.
 const GATHER: Span = Span::from_millis(3);
 
-/// The least time between two questions to other nodes.
-const ASK: Span = Span::from_millis(50);
+/// The least time between two interruptions of this node's own watch. A large answer needs some time to arrive.
+const REFRESH: Span = Span::from_millis(2_000);
 
 /// How long a node stays behind others before it follows the store itself.
 const ALONE_AFTER: Span = Span::from_millis(600);
@@ -125,7 +131,8 @@
     socket: UdpSocket,
     reported: Timestamp,
     behind: Option<Timestamp>,
-    asked: Timestamp,
+    refreshed: Timestamp,
+    is_asking: Arc<AtomicBool>,
     suspended: Span,
     heard: usize,
 }
@@ -146,7 +153,8 @@
             socket,
             reported: now,
             behind: None,
-            asked: Timestamp::ZERO,
+            refreshed: Timestamp::ZERO,
+            is_asking: Arc::default(),
             suspended,
             heard: 0,
         }
@@ -285,9 +293,9 @@
     fn catch_up(&mut self, now: Timestamp) {
         let version = self.shared.catalog.load().as_ref().map_or(0, |c| c.version());
         let newer = {
-            let fleet = self.shared.fleet();
-            let servers = fleet.servers.position().unwrap_or(0);
-            fleet.mesh.newer(now, version, servers)
+            let mut fleet = self.shared.fleet();
+            let crate::shared::Fleet { mesh, rng, servers, .. } = &mut *fleet;
+            mesh.newer(now, version, servers.position().unwrap_or(0), rng)
         };
         let Some(newer) = newer else {
             self.behind = None;
@@ -300,15 +308,23 @@
             self.behind = Some(now);
         }
         let is_reader = version > 0 && self.shared.is_reader();
-        if (is_reader && now.since(since) < BEHIND) || now.since(self.asked) < ASK {
+        if is_reader && now.since(since) < BEHIND {
             return;
         }
-        if is_reader {
+        if is_reader && now.since(self.refreshed) >= REFRESH {
             // The answer to this node's own watch was lost.
+            self.refreshed = now;
             self.shared.refresh.notify_waiters();
         }
-        self.asked = now;
-        tokio::spawn(exchange::fetch(self.shared.clone(), newer));
+        // One question at a time: a second one would only slow down the answer to the first.
+        if self.is_asking.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        let (shared, is_asking) = (self.shared.clone(), self.is_asking.clone());
+        tokio::spawn(async move {
+            exchange::fetch(shared, newer).await;
+            is_asking.store(false, Ordering::SeqCst);
+        });
     }
 
     async fn report(&mut self) {
