Risk orders at suspect servers only while the service does not serve its callers

The floor protects callers from a service that avoids its servers, and matters only while many requests are not served.

Nodes now tell each other how their requests of each service ended. Below 6% unserved in the last two seconds, an order tries an unused server only when it probably no longer fails; work that can be sent again tries it as before, and shows as much.

Ruled out: a lower floor alone (the tries go on at the same rate as long as too few servers are in use), and counting the failures of the tries themselves (they would keep the share above the limit for ever).

declared_share_stays_in_use tested the floor without a condition. It now sets the condition, and two tests beside it hold what applies without it: work that can be sent again keeps the share in use as before, orders return after a while.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -6,6 +6,7 @@
     net::{IpAddr, SocketAddr},
     sync::Arc,
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 /// `StartId` tells two starts of a process at the same address apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -101,6 +102,18 @@
     ServiceName
 }
 
+impl ServiceName {
+    /// Returns the short form in which nodes name the service to each other.
+    pub fn tag(&self) -> u32 {
+        tag(&self.0)
+    }
+}
+
+/// Returns the short form of a name: a hash, as nodes send names to each other many times a second.
+pub(crate) fn tag(name: &str) -> u32 {
+    xxh3_64(name.as_bytes()) as u32
+}
+
 name! {
     /// `RankName` names a rank of work within a service.
     RankName
--- a/crates/core/src/process/member.rs
+++ b/crates/core/src/process/member.rs
@@ -109,11 +109,14 @@
         self.in_flight + others.sum::<u32>()
     }
 
-    /// Returns the probability that a request there fails, by the server's phase or on the path to it.
+    /// Returns the probability that the server, or the path to it, is in a failing phase.
+    pub fn failing(&self, options: &BeliefOptions, now: Timestamp) -> f64 {
+        self.shared.failing(options, now).max(self.path.failing(options, now))
+    }
+
+    /// Returns the probability that a request there fails.
     pub fn failure(&self, options: &BeliefOptions, now: Timestamp) -> f64 {
-        let shared = self.shared.failing(options, now);
-        let path = self.path.failing(options, now);
-        options.fail_failing * shared.max(path)
+        options.fail_failing * self.failing(options, now)
     }
 
     /// Returns the share of its speed that a server which has just started has, 0.5 or 1.
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -17,6 +17,7 @@
 pub mod member;
 pub mod membership;
 pub mod mesh;
+pub mod outcomes;
 pub mod picker;
 pub mod readmission;
 pub mod registration;
--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -46,6 +46,13 @@
 /// known to it: among those that do, the share of unused ones may be larger than among all.
 const FLOOR_MARGIN: f64 = 0.1;
 
+/// The share of unserved requests from which on the declared share of servers is used however bad they look. Below it,
+/// the servers that are left serve the callers, and work at those that probably fail would only add failures.
+const FAILING_SERVICE: f64 = 0.06;
+
+/// The probability of failing below which an unused server is tried with a request that cannot be sent again.
+const TRIAL: f64 = 0.45;
+
 /// `Ask` describes the request that needs a server.
 #[derive(Clone, Debug)]
 pub struct Ask<'a> {
@@ -82,6 +89,8 @@
     pub late: f64,
     /// The servers among which it was chosen.
     pub among: usize,
+    /// Whether the server was chosen only because too few of the service are in use.
+    pub is_trial: bool,
 }
 
 /// Returns the loss that is expected of one more request at `member`; `work` is the time of an answer without queue.
@@ -133,8 +142,8 @@
         .filter(|m| !ask.tried.contains(&m.entry().id) && m.in_flight() < ask.limit)
         .map(|m| (*m, loss(options, roster, now, m, ask, work)))
         .collect();
-    if let Some(unused) = below_floor(options, now, &usable, &open, ask, rng) {
-        return Some(choice(roster, now, unused, open.len()));
+    if let Some(unused) = below_floor(options, roster, now, &usable, &open, ask, rng) {
+        return Some(Choice { is_trial: true, ..choice(roster, now, unused, open.len()) });
     }
     let least = open.iter().map(|(_, loss)| loss.all).min_by(f64::total_cmp)?;
     let weights: Vec<f64> =
@@ -152,9 +161,11 @@
 ///
 /// A service whose servers mostly look bad would otherwise lose the capacity of those that only look so. All nodes see
 /// the lack at about the same time, so each acts on it only in a part of its choices, the larger the lack, and only for
-/// servers of its own data centre.
+/// servers of its own data centre. While the service serves its callers, a request that cannot be sent again is not
+/// risked at a server that probably fails; one that can be shows as well whether the server is sound again.
 fn below_floor<'a>(
     options: &PickerOptions,
+    roster: &Roster,
     now: Timestamp,
     usable: &[&Member],
     open: &[(&'a Member, Loss)],
@@ -170,9 +181,12 @@
     if rng.random_range(0..usable.len()) >= lack {
         return None;
     }
+    let takes_risk = ask.failure < 1.0 || roster.unserved(now, ask.service) >= FAILING_SERVICE;
+    let belief = &roster.options().belief;
+    let is_due = |m: &Member| takes_risk || m.failing(belief, now) < TRIAL;
     let is_near = |m: &Member| m.entry().zone == *ask.zone;
     let mut unused: Vec<&(&Member, Loss)> =
-        open.iter().filter(|(m, _)| !m.is_used(now, IN_USE) && is_near(m)).collect();
+        open.iter().filter(|(m, _)| !m.is_used(now, IN_USE) && is_near(m) && is_due(m)).collect();
     unused.sort_by(|(_, a), (_, b)| a.all.total_cmp(&b.all));
     unused.truncate(lack);
     unused.choose(rng).map(|drawn| **drawn)
@@ -192,5 +206,6 @@
         load: member.load(roster.options().report_age, now),
         late: loss.late,
         among,
+        is_trial: false,
     }
 }
--- a/crates/core/src/process/registration.rs
+++ b/crates/core/src/process/registration.rs
@@ -1,12 +1,11 @@
 //! What a backend server registers of itself.
 
 use crate::{
-    ids::{DataCentre, ServiceName},
+    ids::{tag, DataCentre, ServiceName},
     time::Span,
 };
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// `ServerId` names one registration of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -16,7 +15,7 @@
 impl ServerId {
     /// Returns the short form in which nodes name the server to each other.
     pub fn tag(&self) -> u32 {
-        xxh3_64(self.0.as_bytes()) as u32
+        tag(&self.0)
     }
 
     /// Returns the id as text.
--- a/crates/core/src/process/roster.rs
+++ b/crates/core/src/process/roster.rs
@@ -6,6 +6,7 @@
         belief::{Belief, BeliefOptions, Signal},
         latency::Latency,
         member::{Counts, Member, Presence, ServerReport},
+        outcomes::{Outcomes, Tally},
         registration::{EntryState, ServerEntry, ServerId},
     },
     time::{Span, Timestamp},
@@ -72,6 +73,7 @@
     by_service: HashMap<ServiceName, Vec<ServerId>>,
     by_tag: HashMap<u32, ServerId>,
     latencies: HashMap<ServiceName, Latency>,
+    outcomes: HashMap<ServiceName, Outcomes>,
     touched: Vec<ServerId>,
     recalled: HashMap<ServerId, Belief>,
     store_away: Option<Timestamp>,
@@ -87,6 +89,7 @@
             by_service: HashMap::new(),
             by_tag: HashMap::new(),
             latencies: HashMap::new(),
+            outcomes: HashMap::new(),
             touched: Vec::new(),
             recalled: HashMap::new(),
             store_away: None,
@@ -390,6 +393,31 @@
         reports
     }
 
+    /// Counts the end of a request of a service.
+    pub fn settle(&mut self, now: Timestamp, service: &ServiceName, is_served: bool) {
+        self.outcomes.entry(service.clone()).or_default().settle(now, is_served);
+    }
+
+    /// Takes how another node's requests of a service ended.
+    pub fn hear_tally(&mut self, now: Timestamp, tag: u32, tally: Tally) {
+        // A service without servers here is not counted, so that a faulty sender cannot fill the memory.
+        let Some(service) = self.by_service.keys().find(|service| service.tag() == tag) else {
+            return;
+        };
+        self.outcomes.entry(service.clone()).or_default().hear(now, tally);
+    }
+
+    /// Returns the share of a service's newest requests that was not served, over all nodes that are heard.
+    pub fn unserved(&self, now: Timestamp, service: &ServiceName) -> f64 {
+        self.outcomes.get(service).map_or(0.0, |outcomes| outcomes.unserved(now))
+    }
+
+    /// Takes how this node's requests ended since the last call, by service.
+    pub fn take_tallies(&mut self) -> Vec<(u32, Tally)> {
+        let tallies = self.outcomes.iter_mut().map(|(s, o)| (s.tag(), o.take_unreported()));
+        tallies.filter(|(_, tally)| *tally != Tally::default()).collect()
+    }
+
     /// Returns the time within which `share` of the good answers of a service came.
     pub fn usual(&self, service: &ServiceName, share: f64) -> Option<Span> {
         self.latencies.get(service)?.quantile(share)
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -263,17 +263,44 @@
 }
 
 /// Picks 3,000 times and returns how often each server was chosen.
-fn picks(options: &PickerOptions, roster: &Roster, bytes: f64) -> HashMap<ServerId, u32> {
-    let (service, zone) = (ServiceName::from("orders"), DataCentre::from("a"));
+fn count_picks(
+    options: &PickerOptions,
+    roster: &Roster,
+    now: Timestamp,
+    ask: &Ask<'_>,
+) -> HashMap<ServerId, u32> {
     let mut rng = StdRng::seed_from_u64(11);
     let mut counts = HashMap::new();
     for _ in 0..3_000 {
-        let choice = pick(options, roster, at(1_000), &ask(&service, &zone, bytes), &mut rng);
+        let choice = pick(options, roster, now, ask, &mut rng);
         *counts.entry(choice.expect("a server").id).or_insert(0) += 1;
     }
     counts
 }
 
+/// Picks for requests that cannot be sent again and whose answers have this many bytes.
+fn picks(options: &PickerOptions, roster: &Roster, bytes: f64) -> HashMap<ServerId, u32> {
+    let (service, zone) = (ServiceName::from("orders"), DataCentre::from("a"));
+    count_picks(options, roster, at(1_000), &ask(&service, &zone, bytes))
+}
+
+/// Picks at `now` for requests at which a failure costs `failure`, while the sound half of the servers is in use.
+fn picks_at(
+    options: &PickerOptions,
+    roster: &Roster,
+    now: Timestamp,
+    failure: f64,
+) -> HashMap<ServerId, u32> {
+    let (service, zone) = (ServiceName::from("orders"), DataCentre::from("a"));
+    let mut roster = roster.clone();
+    for number in [1, 3, 5, 7, 9] {
+        roster.observe(now, &id(number), Signal::Success, now);
+        roster.sent(now, &id(number));
+    }
+    let ask = Ask { failure, ..ask(&service, &zone, 0.0) };
+    count_picks(options, &roster, now, &ask)
+}
+
 fn all_used(roster: &mut Roster) {
     for number in 0..10 {
         roster.sent(at(900), &id(number));
@@ -328,9 +355,8 @@
     assert_eq!(far, 0, "{counts:?}");
 }
 
-/// Guards against servers that look bad and lose the service more than the declared share of its servers.
-#[test]
-fn declared_share_stays_in_use() {
+/// Returns ten servers of which the near half fails and has no work.
+fn half_failing() -> Roster {
     let mut roster = roster(10);
     for number in [0, 2, 4, 6, 8] {
         roster.observe(at(1_000), &id(number), Signal::Error, at(999));
@@ -339,11 +365,66 @@
     for number in [1, 3, 5, 7, 9] {
         roster.sent(at(900), &id(number));
     }
+    roster
+}
+
+fn near(counts: &HashMap<ServerId, u32>) -> u32 {
+    [0, 2, 4, 6, 8].iter().filter_map(|n| counts.get(&id(*n))).sum()
+}
+
+/// Guards against servers that look bad and lose the service more than the declared share of its servers, while its
+/// callers are not served.
+#[test]
+fn declared_share_stays_in_use() {
+    let mut roster = half_failing();
+    for number in 0..100 {
+        roster.settle(at(900), &ServiceName::from("orders"), number % 8 != 0);
+    }
     let counts = picks(&PickerOptions::default(), &roster, 0.0);
-    let near: u32 = [0, 2, 4, 6, 8].iter().filter_map(|n| counts.get(&id(*n))).sum();
-    assert!((700..=1_100).contains(&near), "3 of 10 are lacking, so 3 in 10 choices: {counts:?}");
+    assert!(
+        (700..=1_100).contains(&near(&counts)),
+        "3 of 10 are lacking, so 3 in 10 choices: {counts:?}"
+    );
     let none = PickerOptions { floor: 0.0, ..PickerOptions::default() };
     let counts = picks(&none, &roster, 0.0);
-    let near: u32 = [0, 2, 4, 6, 8].iter().filter_map(|n| counts.get(&id(*n))).sum();
-    assert!(near < 20, "{counts:?}");
+    assert!(near(&counts) < 20, "{counts:?}");
+}
+
+/// Guards against work that can be sent again and does not show whether servers are sound again.
+#[test]
+fn repeatable_work_keeps_the_declared_share_in_use() {
+    let roster = half_failing();
+    let counts = picks_at(&PickerOptions::default(), &roster, at(1_000), 0.8);
+    assert!((700..=1_100).contains(&near(&counts)), "{counts:?}");
+}
+
+/// Guards against orders that are lost at servers which were just seen failing, although the others serve all callers;
+/// and against servers that get no order for ever because they failed once.
+#[test]
+fn orders_try_a_failing_server_only_after_a_while() {
+    let roster = half_failing();
+    let counts = picks_at(&PickerOptions::default(), &roster, at(3_000), 1.0);
+    assert!(near(&counts) < 20, "{counts:?}");
+    let counts = picks_at(&PickerOptions::default(), &roster, at(13_000), 1.0);
+    assert!(near(&counts) > 700, "{counts:?}");
+}
+
+/// Guards against a share of unserved requests that forgets too early, stays for ever, or is large after one failure.
+#[test]
+fn unserved_share_is_that_of_the_newest_requests() {
+    let (mut here, mut there) = (roster(1), roster(1));
+    let orders = ServiceName::from("orders");
+    here.settle(at(0), &orders, false);
+    assert!(here.unserved(at(0), &orders) < 0.12);
+    for _ in 0..11 {
+        here.settle(at(0), &orders, false);
+    }
+    for (tag, tally) in here.take_tallies() {
+        there.hear_tally(at(250), tag, tally);
+        there.hear_tally(at(250), tag.wrapping_add(1), tally);
+    }
+    assert!(here.take_tallies().is_empty(), "they are told once");
+    for (millis, expected) in [(250, 0.6), (2_000, 0.6), (2_500, 0.0)] {
+        assert_eq!(there.unserved(at(millis), &orders), expected, "{millis}");
+    }
 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -96,6 +96,7 @@
         self.shared.count_request(&self.outgoing.service);
         let mut course = Course::default();
         let verdict = self.attempts(body, &mut course).await;
+        self.settle(&verdict, &course);
         self.log(&verdict, &course);
         verdict
     }
@@ -310,6 +311,19 @@
         })
     }
 
+    /// Counts the end of the request for its service.
+    ///
+    /// A failure at a server that was only tried for the floor is left out: these tries follow from the share of
+    /// unserved requests, and would keep themselves going.
+    fn settle(&self, verdict: &Verdict, course: &Course) {
+        let is_served = matches!(verdict, Verdict::Answer(a) if !a.status.is_server_error());
+        let was_trial = course.choice.as_ref().is_some_and(|choice| choice.is_trial);
+        if is_served || !was_trial {
+            let now = self.shared.now();
+            self.shared.fleet().roster.settle(now, &self.outgoing.service, is_served);
+        }
+    }
+
     fn log(&self, verdict: &Verdict, course: &Course) {
         let took = self.shared.now().since(self.begun);
         let (result, status) = match verdict {
@@ -329,7 +343,7 @@
             version = self.version, servers = servers.join(","), sends = course.sends, status,
             ms = took.as_millis(), last = course.last.as_str(),
             failing = choice.map(|c| (c.failure * 100.0) as u64), age_ms = choice.map(|c| c.age.as_millis()),
-            load = choice.map(|c| c.load), late = choice.map(|c| (c.late * 100.0) as u64),
+            trial = choice.map(|c| c.is_trial), load = choice.map(|c| c.load), late = choice.map(|c| (c.late * 100.0) as u64),
             among = choice.map(|c| c.among); "{result}");
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,11 +1,16 @@
 //! Datagrams between nodes: who is there, and what each saw of backend servers.
 
-use crate::{clock::duration, exchange, shared::Shared};
+use crate::{
+    clock::duration,
+    exchange,
+    shared::{Fleet, Shared},
+};
 use redwingtrestle_core::{
     ids::DataCentre,
     process::{
         member::{Counts, ServerReport},
         mesh::{Hello, NodeState},
+        outcomes::Tally,
     },
     time::{Span, Timestamp},
 };
@@ -23,7 +28,10 @@
 const MAX_DATAGRAM: usize = 1_200;
 
 /// The most rows of one report, and the most addresses of one list, that fit a datagram.
-const MAX_ROWS: usize = 80;
+const MAX_ROWS: usize = 60;
+
+/// The most services whose counts go with the rows of one report.
+const MAX_TALLIES: usize = 20;
 
 /// How often the control duty looks what is due.
 const TICK: Span = Span::from_millis(100);
@@ -73,7 +81,27 @@
     /// Addresses of nodes that the sender knows.
     Nodes(Vec<SocketAddr>),
     /// What the node `from` saw. A receiver that finds `pass` set hands it on in its own data centre.
-    Report { from: u64, pass: bool, rows: Vec<RowDoc> },
+    Report { from: u64, pass: bool, rows: Vec<RowDoc>, tallies: Vec<TallyDoc> },
+}
+
+/// `TallyDoc` is how the requests of one service ended, on the wire.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct TallyDoc {
+    tag: u32,
+    served: u32,
+    unserved: u32,
+}
+
+impl From<(u32, Tally)> for TallyDoc {
+    fn from((tag, Tally { served, unserved }): (u32, Tally)) -> Self {
+        TallyDoc { tag, served, unserved }
+    }
+}
+
+impl From<TallyDoc> for (u32, Tally) {
+    fn from(TallyDoc { tag, served, unserved }: TallyDoc) -> Self {
+        (tag, Tally { served, unserved })
+    }
 }
 
 /// `RowDoc` is one server of a report on the wire.
@@ -208,17 +236,23 @@
                     fleet.mesh.named(now, addr);
                 }
             }
-            Ok(Datagram::Report { from, pass, rows }) => {
-                for row in &rows {
-                    self.shared.fleet().roster.hear(now, from, &ServerReport::from(*row));
+            Ok(Datagram::Report { from, pass, rows, tallies }) => {
+                {
+                    let mut fleet = self.shared.fleet();
+                    for row in &rows {
+                        fleet.roster.hear(now, from, &ServerReport::from(*row));
+                    }
+                    for (tag, tally) in tallies.iter().copied().map(<(u32, Tally)>::from) {
+                        fleet.roster.hear_tally(now, tag, tally);
+                    }
                 }
                 if pass {
                     let near = {
                         let mut fleet = self.shared.fleet();
-                        let crate::shared::Fleet { mesh, rng, .. } = &mut *fleet;
+                        let Fleet { mesh, rng, .. } = &mut *fleet;
                         mesh.near(now, rng)
                     };
-                    self.send(&Datagram::Report { from, pass: false, rows }, &near).await;
+                    self.send(&Datagram::Report { from, pass: false, rows, tallies }, &near).await;
                 }
             }
             Err(e) => {
@@ -258,7 +292,7 @@
         self.check_clock();
         let (due, size) = {
             let mut fleet = self.shared.fleet();
-            let crate::shared::Fleet { mesh, rng, roster, .. } = &mut *fleet;
+            let Fleet { mesh, rng, roster, .. } = &mut *fleet;
             roster.tick(now);
             (mesh.due(now, rng), mesh.size(now))
         };
@@ -294,7 +328,7 @@
         let version = self.shared.catalog.load().as_ref().map_or(0, |c| c.version());
         let newer = {
             let mut fleet = self.shared.fleet();
-            let crate::shared::Fleet { mesh, rng, servers, .. } = &mut *fleet;
+            let Fleet { mesh, rng, servers, .. } = &mut *fleet;
             mesh.newer(now, version, servers.position().unwrap_or(0), rng)
         };
         let Some(newer) = newer else {
@@ -330,21 +364,29 @@
     async fn report(&mut self) {
         let now = self.shared.now();
         self.reported = now;
-        let (rows, near, relays) = {
+        let (mut rows, mut tallies, near, relays) = {
             let mut fleet = self.shared.fleet();
-            let crate::shared::Fleet { mesh, rng, roster, .. } = &mut *fleet;
+            let Fleet { mesh, rng, roster, .. } = &mut *fleet;
             let rows: Vec<RowDoc> = roster.take_reports().into_iter().map(RowDoc::from).collect();
             if rows.is_empty() {
                 return;
             }
+            let tallies = roster.take_tallies().into_iter().map(TallyDoc::from).collect::<Vec<_>>();
             let (near, relays) = mesh.report_targets(now, rng);
-            (rows, near, relays)
+            (rows, tallies, near, relays)
         };
         let from = self.shared.start;
-        for rows in rows.chunks(MAX_ROWS) {
-            let rows = rows.to_vec();
-            self.send(&Datagram::Report { from, pass: false, rows: rows.clone() }, &near).await;
-            self.send(&Datagram::Report { from, pass: true, rows }, &relays).await;
+        while !rows.is_empty() || !tallies.is_empty() {
+            let rows = rows.split_off(rows.len().saturating_sub(MAX_ROWS));
+            let tallies = tallies.split_off(tallies.len().saturating_sub(MAX_TALLIES));
+            let report = |pass| Datagram::Report {
+                from,
+                pass,
+                rows: rows.clone(),
+                tallies: tallies.clone(),
+            };
+            self.send(&report(false), &near).await;
+            self.send(&report(true), &relays).await;
         }
     }
 
@@ -353,7 +395,7 @@
         let now = self.shared.now();
         let near = {
             let mut fleet = self.shared.fleet();
-            let crate::shared::Fleet { mesh, rng, .. } = &mut *fleet;
+            let Fleet { mesh, rng, .. } = &mut *fleet;
             mesh.near(now, rng)
         };
         self.send(&self.hello(), &near).await;
