Hold requests of the first moments until the configuration is known; listen for signals first

Cause: after all processes end at once, callers are connected before the store has answered the new ones. They now wait for it, 250 ms at most. Signals were listened for after the ports; one that came in between ended the process, which SIGHUP must not do.

Add a randomized soak of real processes (crates/node/tests/soak.rs): signals, links, servers and the store change in a seeded series, and ten promises are checked from what callers and servers saw.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,11 +14,15 @@
     telemetry,
 };
 use redwingtrestle_core::time::Span;
-use std::{path::PathBuf, sync::Arc, thread};
+use std::{
+    path::{Path, PathBuf},
+    sync::Arc,
+    thread,
+};
 use tokio::{
     net::UdpSocket,
     runtime::{Builder, Runtime},
-    signal::unix::{signal, SignalKind},
+    signal::unix::{signal, Signal, SignalKind},
 };
 
 /// How often the settings file is looked at. It may change without a signal.
@@ -34,9 +38,10 @@
         entry:% = shared.settings.entry, peer:% = shared.settings.peer,
         store:% = shared.settings.store; "starting");
     let entry = runtime()?;
-    let listener = {
+    let (signals, listener) = {
         let _entered = entry.enter();
-        accept::bind(&shared)?
+        // First of all, as a signal that nobody listens for ends the process.
+        (Signals::listen()?, accept::bind(&shared)?)
     };
     let control = runtime()?;
     control.block_on(start_control(shared.clone(), store))?;
@@ -46,7 +51,7 @@
         .map_err(|e| Error::start("control", &e))?;
     let result = entry.block_on(async {
         tokio::spawn(accept::serve(shared.clone(), listener));
-        wait(&shared, path).await?;
+        wait(&shared, &path, signals).await;
         stop::stop(&shared).await;
         Ok(())
     });
@@ -73,27 +78,42 @@
     Ok(())
 }
 
+/// `Signals` are the signals that the process listens for.
+#[derive(Debug)]
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    fn listen() -> Result<Self> {
+        let listen = |kind| signal(kind).map_err(|e| Error::start("signals", &e));
+        Ok(Signals {
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+            hang_up: listen(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Waits for SIGTERM or SIGINT, and notices changed settings meanwhile.
-async fn wait(shared: &Shared, path: PathBuf) -> Result<()> {
-    let listen = |kind| signal(kind).map_err(|e| Error::start("signals", &e));
-    let mut terminate = listen(SignalKind::terminate())?;
-    let mut interrupt = listen(SignalKind::interrupt())?;
-    let mut hang_up = listen(SignalKind::hangup())?;
+async fn wait(shared: &Shared, path: &Path, mut signals: Signals) {
     let mut check = tokio::time::interval(duration(SETTINGS_CHECK));
     let mut known = shared.settings.clone();
     loop {
         let cause = tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hang_up.recv() => "SIGHUP",
+            _ = signals.terminate.recv() => return,
+            _ = signals.interrupt.recv() => return,
+            _ = signals.hang_up.recv() => "SIGHUP",
             _ = check.tick() => "changed file",
         };
-        reload(&path, cause, &mut known);
+        reload(path, cause, &mut known);
     }
 }
 
 /// Reads the settings again and says what would change; a changed value is in force from the next start on.
-fn reload(path: &std::path::Path, cause: &str, known: &mut Settings) {
+fn reload(path: &Path, cause: &str, known: &mut Settings) {
     match Settings::read(path) {
         Ok(settings) if settings == *known && cause != "SIGHUP" => {}
         Ok(settings) => {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -18,13 +18,17 @@
 use redwingtrestle_core::{
     codes::{Outcome, ResultCode},
     time::{Span, Timestamp},
-    version::catalog::Repeat,
+    version::catalog::{Catalog, Repeat},
 };
 use std::sync::Arc;
 
 /// When to come back after a refusal.
 const COME_BACK: Span = Span::from_millis(500);
 
+/// How long a request waits for the first configuration of a process. After the end of all nodes callers are there before
+/// the store has answered, and have no other entry to go to.
+const START_HOLD: Span = Span::from_millis(250);
+
 /// Serves one request of a caller.
 pub async fn serve(
     shared: Arc<Shared>,
@@ -75,7 +79,7 @@
     begun: Timestamp,
     attempt: &Arc<str>,
 ) -> Result<(Job, OutBody), ResultCode> {
-    let catalog = shared.catalog.load_full().ok_or(ResultCode::NotReady)?;
+    let catalog = configuration(shared).await.ok_or(ResultCode::NotReady)?;
     let (mut head, body) = request.into_parts();
     let host =
         head.uri.host().or_else(|| head.headers.get(HOST)?.to_str().ok()).unwrap_or_default();
@@ -119,6 +123,18 @@
     Ok((job, body))
 }
 
+/// Returns the configuration in force; at the start of the process it is waited for a short time.
+async fn configuration(shared: &Shared) -> Option<Arc<Catalog>> {
+    let until = tokio::time::Instant::now() + duration(START_HOLD);
+    loop {
+        let changed = shared.changed.notified();
+        if let Some(catalog) = shared.catalog.load_full() {
+            return Some(catalog);
+        }
+        tokio::time::timeout_at(until, changed).await.ok()?;
+    }
+}
+
 /// Runs a job. One that must not run twice goes on when its caller leaves, as breaking it off would leave its effect
 /// unknown; any other ends with its caller.
 async fn dispatch(shared: &Arc<Shared>, job: Job, body: OutBody) -> Verdict {
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -329,3 +329,19 @@
     assert!(!header(&reply.head, "retry-after").is_empty());
     assert!(reply.took < Duration::from_millis(400), "{:?}", reply.took);
 }
+
+/// Guards against callers that are refused in the first moments of a process, after which all nodes started anew.
+#[tokio::test]
+async fn request_waits_for_the_first_configuration() {
+    let server = Backend::start("i-1", Act::Serve).await;
+    let world = World::empty().await;
+    let text = post("r1");
+    let inform = async {
+        tokio::time::sleep(Duration::from_millis(80)).await;
+        world.store.append(Stream::Configuration, Record::Catalog(Box::new(catalog(1))));
+        tokio::time::sleep(Duration::from_millis(80)).await;
+        world.store.register(server.entry(EntryState::Ready, 1));
+    };
+    let (reply, ()) = tokio::join!(world.call(&text), inform);
+    assert_eq!(reply.status, 200);
+}
--- /dev/null
+++ b/crates/node/tests/soak.rs
@@ -0,0 +1,75 @@
+//! A randomized soak: real gateway processes, callers and backend servers, with faults injected from outside.
+//!
+//! `cargo test -p redwingtrestle-node --test soak` plays the seeds that once failed and two short ones. By hand,
+//! `REDWING_SOAK=FIRST..LAST` plays those seeds, `REDWING_SOAK_SECONDS` sets the time of the faults; see
+//! docs/OPERATIONS.md, section 10.
+
+mod soak {
+    #![allow(unreachable_pub, missing_docs, reason = "the modules of this test use each other")]
+
+    pub mod caller;
+    pub mod checks;
+    pub mod link;
+    pub mod process;
+    pub mod record;
+    pub mod server;
+    pub mod world;
+}
+
+use soak::world::{Report, Size, World};
+use std::{env, fs, time::Duration};
+
+const SHORT: Size = Size { nodes: 4, servers: 9, callers: 24, time: Duration::from_secs(6) };
+
+/// Plays one seed; the logs of a failed run are kept.
+fn play(seed: u64, size: Size) -> Report {
+    let folder = env::temp_dir().join(format!("redwing-soak-{}-{seed}", std::process::id()));
+    fs::create_dir_all(&folder).expect("a folder for logs");
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let report = runtime.block_on(async {
+        let world = World::start(seed, size, &folder).await;
+        world.run(seed).await
+    });
+    runtime.shutdown_background();
+    if report.found.is_empty() {
+        // A folder that stays behind is no fault of the run.
+        let _ = fs::remove_dir_all(&folder);
+    } else {
+        eprintln!("seed {seed}: logs in {}", folder.display());
+    }
+    report
+}
+
+fn check(seed: u64) {
+    let found = play(seed, SHORT).found;
+    assert!(found.is_empty(), "seed {seed}: {found:#?}");
+}
+
+/// Guards against promises that hold for single faults and break when several come at once.
+#[test]
+fn short_run_keeps_the_promises() {
+    check(1);
+}
+
+/// Guards against the same, with another series of faults.
+#[test]
+fn another_short_run_keeps_the_promises() {
+    check(2);
+}
+
+/// Plays the seeds that the environment names; without any it does nothing.
+#[test]
+fn seeds_by_hand() {
+    let Ok(range) = env::var("REDWING_SOAK") else { return };
+    let (first, last) = range.split_once("..").expect("FIRST..LAST");
+    let seconds = env::var("REDWING_SOAK_SECONDS").map_or(6, |s| s.parse().expect("seconds"));
+    let size = Size { time: Duration::from_secs(seconds), ..SHORT };
+    let (first, last): (u64, u64) = (first.parse().expect("a seed"), last.parse().expect("a seed"));
+    let mut failed = 0;
+    for seed in first..last {
+        let Report { found, sent, served } = play(seed, size);
+        println!("seed {seed}: {sent} requests, {served:.3} served, broken: {found:#?}");
+        failed += usize::from(!found.is_empty());
+    }
+    assert_eq!(failed, 0, "seeds with broken promises");
+}
--- /dev/null
+++ b/crates/node/tests/soak/caller.rs
@@ -0,0 +1,164 @@
+//! Callers: they ask which entries to use, keep connections until the process is gone, and record what they get.
+
+use super::record::{Ask, Outcome, Record};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use rand::{rngs::StdRng, seq::IndexedRandom, Rng};
+use redwingtrestle_platform::dialect::dialect;
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::net::TcpStream;
+
+/// How long a caller says that it waits, in milliseconds.
+const WAITS_MS: u64 = 2_500;
+
+/// How long it really waits, so that late answers are seen.
+const PATIENCE: Duration = Duration::from_millis(4_000);
+
+/// The pause between two requests of a caller.
+const PAUSE_MS: std::ops::Range<u64> = 5..60;
+
+/// How long a caller keeps the directory's answer.
+const TTL: Duration = Duration::from_secs(1);
+
+/// `Place` is a node as callers reach it.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub directory: String,
+    pub entry: SocketAddr,
+    /// The link that stands before the entry.
+    pub link: SocketAddr,
+}
+
+/// `Caller` is one caller with its kept connections.
+#[derive(Debug)]
+pub struct Caller {
+    pub name: String,
+    pub places: Vec<Place>,
+    pub record: Arc<Record>,
+    pub rng: StdRng,
+    pub client: reqwest::Client,
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+impl Caller {
+    /// Sends requests until `until`.
+    pub async fn run(mut self, until: Instant) {
+        let mut kept: HashMap<SocketAddr, Sender> = HashMap::new();
+        let mut entries: Vec<SocketAddr> = Vec::new();
+        let mut asked: Option<Instant> = None;
+        let mut number = 0;
+        while Instant::now() < until {
+            if asked.is_none_or(|asked| asked.elapsed() > TTL) {
+                if let Some(newer) = self.look_up().await {
+                    entries = newer;
+                    kept.retain(|entry, _| entries.contains(entry));
+                }
+                asked = Some(Instant::now());
+            }
+            if let Some(entry) = entries.choose(&mut self.rng).copied() {
+                number += 1;
+                self.call(entry, number, &mut kept).await;
+            }
+            let pause = Duration::from_millis(self.rng.random_range(PAUSE_MS));
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Asks up to three nodes which entries to use.
+    async fn look_up(&mut self) -> Option<Vec<SocketAddr>> {
+        let places: Vec<Place> = self.places.choose_multiple(&mut self.rng, 3).cloned().collect();
+        for place in places {
+            let call = self.client.get(&place.directory).timeout(Duration::from_secs(1));
+            let Ok(answer) = call.send().await else { continue };
+            let Ok(text) = answer.text().await else { continue };
+            let Ok(value) = serde_json::from_str::<serde_json::Value>(&text) else { continue };
+            let entries = value["entries"].as_array().map(|list| {
+                list.iter().filter_map(|entry| entry.as_str()?.parse().ok()).collect::<Vec<_>>()
+            });
+            if let Some(entries) = entries.filter(|entries| !entries.is_empty()) {
+                return Some(entries);
+            }
+        }
+        None
+    }
+
+    async fn call(
+        &mut self,
+        entry: SocketAddr,
+        number: u32,
+        kept: &mut HashMap<SocketAddr, Sender>,
+    ) {
+        let Some(place) = self.places.iter().find(|place| place.entry == entry) else { return };
+        let ready = kept.remove(&entry).filter(|sender| !sender.is_closed());
+        let mut sender = match ready {
+            Some(sender) => sender,
+            None => match connect(place.link).await {
+                Some(sender) => sender,
+                None => return,
+            },
+        };
+        let id = format!("{}-{number}", self.name);
+        let kind = *["orders", "reads", "files", "moves"].choose(&mut self.rng).expect("a kind");
+        let once = matches!(kind, "orders" | "moves");
+        let path = format!("/{kind}/{number}?of={}", self.name);
+        let body = if once { format!("body of {id}").into_bytes() } else { Vec::new() };
+        let names = dialect();
+        let request = hyper::Request::builder()
+            .method(if once { "POST" } else { "GET" })
+            .uri(&path)
+            .header("Host", "a.example")
+            .header(&names.attempt, &id)
+            .header(&names.deadline, WAITS_MS)
+            .body(Full::new(Bytes::from(body.clone())))
+            .expect("a request");
+        let ask = Ask { path, body, once, node: entry.ip(), sent: Instant::now(), end: None };
+        self.record.asked(&id, ask);
+        let leaves = self.rng.random_bool(0.03);
+        let patience = if leaves { Duration::from_millis(5) } else { PATIENCE };
+        let result = tokio::time::timeout(patience, exchange(&mut sender, request)).await;
+        let what = match result {
+            Ok(Ok((outcome, is_open))) => {
+                if is_open {
+                    kept.insert(entry, sender);
+                }
+                outcome
+            }
+            Ok(Err(e)) => Outcome::Broken(e.to_string()),
+            Err(_) if leaves => Outcome::Left,
+            Err(_) => Outcome::Silent,
+        };
+        self.record.ended(&id, what);
+    }
+}
+
+async fn connect(addr: SocketAddr) -> Option<Sender> {
+    let connecting = tokio::time::timeout(Duration::from_secs(1), TcpStream::connect(addr));
+    let socket = connecting.await.ok()?.ok()?;
+    socket.set_nodelay(true).ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(socket)).await.ok()?;
+    // Its errors reach the request that they concern.
+    tokio::spawn(async move { drop(connection.await) });
+    Some(sender)
+}
+
+/// Sends a request and reads the whole answer; tells whether the connection may be used again.
+async fn exchange(
+    sender: &mut Sender,
+    request: hyper::Request<Full<Bytes>>,
+) -> Result<(Outcome, bool), hyper::Error> {
+    sender.ready().await?;
+    let (head, body) = sender.send_request(request).await?.into_parts();
+    let body = body.collect().await?.to_bytes().to_vec();
+    let signature = head.headers.get(&dialect().signature);
+    let signature = signature.and_then(|s| s.to_str().ok()).map(str::to_string);
+    let closes = head.headers.get("connection").is_some_and(|value| value == "close");
+    Ok((Outcome::Answer(head.status.as_u16(), signature, body), !closes))
+}
--- /dev/null
+++ b/crates/node/tests/soak/process.rs
@@ -0,0 +1,148 @@
+//! Gateways as processes, ended only by their own ids.
+
+use super::link::Link;
+use redwingtrestle_platform_fakes::store::Store;
+use rustix::process::{kill_process, Pid, Signal};
+use std::{
+    fs::{self, File},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
+};
+
+const ENTRY: u16 = 8_401;
+const HEALTH: u16 = 8_402;
+const DIRECTORY: u16 = 8_403;
+const PEER: u16 = 8_404;
+const METRICS: u16 = 8_405;
+
+/// How long a planned stop may take, in milliseconds.
+pub const STOP_MS: u64 = 4_000;
+
+static NEXT_FLEET: AtomicU8 = AtomicU8::new(0);
+
+/// Returns the addresses of a fleet's VMs. Fleets of tests that run at the same time do not share any.
+pub fn fleet(nodes: u8) -> Vec<IpAddr> {
+    let process = 64 + (std::process::id() % 128) as u8;
+    let fleet = NEXT_FLEET.fetch_add(1, Ordering::SeqCst);
+    (1..=nodes).map(|node| IpAddr::V4(Ipv4Addr::new(127, process, fleet, node))).collect()
+}
+
+/// `Node` is one gateway process and the links before and behind it.
+#[derive(Debug)]
+pub struct Node {
+    pub name: String,
+    pub ip: IpAddr,
+    /// From callers to its entry.
+    pub callers: Link,
+    /// From it to the store.
+    pub store: Link,
+    folder: PathBuf,
+    /// How often the process was started; it tells two of them apart.
+    pub starts: u32,
+    /// The newest start that was told to end.
+    pub told: u32,
+    child: Option<Child>,
+}
+
+impl Node {
+    /// Prepares the node `number` of `ips`; it is not started.
+    pub async fn new(folder: &Path, ips: &[IpAddr], number: usize, store: &Store) -> Node {
+        let ip = ips[number];
+        let name = format!("n{number}");
+        let callers = Link::start(SocketAddr::new(ip, ENTRY)).await.expect("a link");
+        let store = Link::start(store.addr()).await.expect("a link");
+        let node = Node {
+            name,
+            ip,
+            callers,
+            store,
+            folder: folder.into(),
+            starts: 0,
+            told: 0,
+            child: None,
+        };
+        let seeds: Vec<String> = ips.iter().map(|ip| format!("\"{ip}:{PEER}\"")).collect();
+        node.write_settings(&seeds.join(","));
+        node
+    }
+
+    fn write_settings(&self, seeds: &str) {
+        let Node { name, ip, store, .. } = self;
+        let text = format!(
+            r#"// Written by the soak.
+            {{"node": "{name}", "entry": "{ip}:{ENTRY}", "health": "{ip}:{HEALTH}",
+              "directory": "{ip}:{DIRECTORY}", "peer": "{ip}:{PEER}", "metrics": "{ip}:{METRICS}",
+              "data_centre": "a", "store": "{}", "seeds": [{seeds}], "entries_ttl_s": 1,
+              "stop_ms": {STOP_MS}, "retry_ratio": 0.2, "retry_floor": 50}}"#,
+            store.addr
+        );
+        fs::write(self.settings(), text).expect("the settings are written");
+    }
+
+    fn settings(&self) -> PathBuf {
+        self.folder.join(format!("{}.json", self.name))
+    }
+
+    /// Writes the settings with a further comment, so that the file changes and its meaning does not.
+    pub fn touch_settings(&self) {
+        let text = fs::read_to_string(self.settings()).expect("the settings are read");
+        fs::write(self.settings(), text + "\n// Touched.").expect("the settings are written");
+    }
+
+    /// Starts the process. Its output goes to a file of its own.
+    pub fn start(&mut self) {
+        self.starts += 1;
+        let log = self.folder.join(format!("{}-{}.log", self.name, self.starts));
+        let child = Command::new(env!("CARGO_BIN_EXE_redwingd"))
+            .args(["gateway", "--settings"])
+            .arg(self.settings())
+            .stdin(Stdio::null())
+            .stdout(File::create(log).expect("a log file"))
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the process starts");
+        self.child = Some(child);
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub fn signal(&mut self, signal: Signal) {
+        if [Signal::TERM, Signal::KILL].contains(&signal) {
+            self.told = self.starts;
+        }
+        let Some(child) = &self.child else { return };
+        let pid = Pid::from_raw(child.id() as i32).expect("an id");
+        // A process that has just ended by itself is noticed by `has_ended`.
+        let _ = kill_process(pid, signal);
+    }
+
+    /// Returns whether the process has ended, or was never started.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_none_or(|child| child.try_wait().is_ok_and(|end| end.is_some()))
+    }
+
+    /// Returns where callers ask which entries to use.
+    pub fn directory(&self) -> String {
+        format!("http://{}:{DIRECTORY}/v1/entries?name=a.example&region=r&zone=a", self.ip)
+    }
+
+    /// Returns where the platform asks whether the node is ready.
+    pub fn health(&self) -> String {
+        format!("http://{}:{HEALTH}/v1/health", self.ip)
+    }
+
+    /// Returns the address that the node names to callers.
+    pub fn entry(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, ENTRY)
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/soak/server.rs
@@ -0,0 +1,228 @@
+//! Backend servers that record what they run, and misbehave on request.
+
+use super::{
+    link::{Link, Task},
+    record::{Record, Run},
+};
+use redwingtrestle_core::{
+    process::registration::{EntryState, ServerEntry, ServerId},
+    time::Span,
+};
+use redwingtrestle_platform::dialect::dialect;
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+/// `Manner` is how a server treats requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Manner {
+    /// It runs and answers them.
+    #[default]
+    Serve,
+    /// It runs them and answers 500.
+    Fail,
+    /// It refuses them before running them.
+    Shed,
+    /// It answers 503 without saying that it has not run them, having run them.
+    Unmarked,
+    /// It runs them and closes the connection.
+    Lose,
+    /// It runs them and breaks the answer off.
+    Cut,
+    /// It runs them, answers, and sends one more answer with another id.
+    Extra,
+    /// It runs them and never answers.
+    Hang,
+}
+
+/// The usual time of the work.
+const WORK: Duration = Duration::from_millis(15);
+
+/// `Server` is one running backend server behind a link.
+#[derive(Debug)]
+pub struct Server {
+    pub entry: ServerEntry,
+    pub link: Link,
+    manner: Arc<Mutex<Manner>>,
+    _listener: Task,
+}
+
+/// `Identity` is what a connection of a server has to know.
+#[derive(Clone, Debug)]
+struct Identity {
+    id: String,
+    service: &'static str,
+    manner: Arc<Mutex<Manner>>,
+    record: Arc<Record>,
+}
+
+impl Server {
+    /// Starts a server. `link` is the address that it takes over; without one it gets a new address.
+    pub async fn start(
+        id: String,
+        service: &'static str,
+        link: Option<Link>,
+        record: Arc<Record>,
+    ) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let own = listener.local_addr().expect("an address");
+        let link = match link {
+            Some(link) => {
+                link.aim(Some(own));
+                link
+            }
+            None => Link::start(own).await.expect("a link"),
+        };
+        let manner = Arc::new(Mutex::new(Manner::Serve));
+        let identity = Identity { id: id.clone(), service, manner: manner.clone(), record };
+        let listener = tokio::spawn(async move {
+            let mut connections = tokio::task::JoinSet::new();
+            while let Ok((socket, _)) = listener.accept().await {
+                connections.spawn(connection(socket, identity.clone()));
+            }
+        });
+        let entry = ServerEntry {
+            id: ServerId(id.into()),
+            addr: link.addr,
+            service: service.into(),
+            zone: "a".into(),
+            slots: 6,
+            state: EntryState::Ready,
+            warmup: Span::ZERO,
+            started: 1,
+            report: 1,
+        };
+        Server { entry, link, manner, _listener: Task(listener) }
+    }
+
+    pub fn set(&self, manner: Manner) {
+        *self.manner.lock().unwrap_or_else(PoisonError::into_inner) = manner;
+    }
+
+    /// Ends the server with all its connections, and returns its address for another one.
+    pub fn end(self) -> Link {
+        self.link.aim(None);
+        self.link
+    }
+}
+
+/// Returns the body that a server gives for a request. It is long for files, so that answers break off midway.
+pub fn answer_body(id: &str, signature: &str, service: &str) -> Vec<u8> {
+    let text = format!("{id} {signature} ");
+    let length = if service == "files" { 40_000 } else { 64 };
+    text.bytes().cycle().take(length).collect()
+}
+
+struct Arrival {
+    id: String,
+    path: String,
+    target: String,
+    body: Vec<u8>,
+}
+
+async fn read(socket: &mut TcpStream) -> Option<Arrival> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0u8; 1];
+        if socket.read(&mut byte).await.ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).ok()?;
+    let header = |name: &str| {
+        let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+        let found = lines.find(|(key, _)| key.eq_ignore_ascii_case(name));
+        found.map_or(String::new(), |(_, value)| value.to_string())
+    };
+    let names = dialect();
+    let mut body = vec![0; header("content-length").parse().unwrap_or(0)];
+    socket.read_exact(&mut body).await.ok()?;
+    Some(Arrival {
+        id: header(names.attempt.as_str()),
+        path: head.split(' ').nth(1)?.to_string(),
+        target: header(names.target.as_str()),
+        body,
+    })
+}
+
+async fn connection(mut socket: TcpStream, me: Identity) {
+    while let Some(arrival) = read(&mut socket).await {
+        let manner = *me.manner.lock().unwrap_or_else(PoisonError::into_inner);
+        if !serve(&mut socket, &me, &arrival, manner).await {
+            return;
+        }
+    }
+}
+
+/// Serves one request and returns whether the connection stays open.
+async fn serve(socket: &mut TcpStream, me: &Identity, arrival: &Arrival, manner: Manner) -> bool {
+    let names = dialect();
+    let is_mine = arrival.target.is_empty() || arrival.target == me.id;
+    let has_run = is_mine && manner != Manner::Shed;
+    let number = me.record.arrived(
+        &arrival.id,
+        Run {
+            server: me.id.clone(),
+            service: me.service,
+            at: Instant::now(),
+            path: arrival.path.clone(),
+            body: arrival.body.clone(),
+            has_run,
+            answer: None,
+            ended: None,
+        },
+    );
+    if !has_run {
+        let status = if is_mine { 503 } else { 421 };
+        let text =
+            format!("HTTP/1.1 {status} X\r\n{}: 1\r\nContent-Length: 0\r\n\r\n", names.not_run);
+        return socket.write_all(text.as_bytes()).await.is_ok();
+    }
+    let signature = format!("{}.{number}.{}", me.id, me.service);
+    let work = if manner == Manner::Hang { Duration::from_secs(3_600) } else { WORK };
+    let mut byte = [0u8; 1];
+    let was_left = tokio::select! {
+        () = tokio::time::sleep(work) => false,
+        _ = socket.read(&mut byte) => true,
+    };
+    me.record.update(&arrival.id, number, |run| run.ended = Some(Instant::now()));
+    if was_left {
+        return false;
+    }
+    let status = match manner {
+        Manner::Fail => 500,
+        Manner::Unmarked => 503,
+        _ => 200,
+    };
+    let body = answer_body(&arrival.id, &signature, me.service);
+    let mut answer = whole(status, &arrival.id, &signature, &body);
+    match manner {
+        Manner::Lose => return false,
+        Manner::Cut => {
+            // The connection is closed under it whether or not these bytes arrive.
+            let _ = socket.write_all(&answer[..answer.len() - body.len() / 2]).await;
+            return false;
+        }
+        Manner::Extra => answer.extend(whole(200, "another", &signature, b"not yours")),
+        _ => {}
+    }
+    me.record.update(&arrival.id, number, |run| run.answer = Some((status, signature.clone())));
+    socket.write_all(&answer).await.is_ok()
+}
+
+fn whole(status: u16, id: &str, signature: &str, body: &[u8]) -> Vec<u8> {
+    let names = dialect();
+    let head = format!(
+        "HTTP/1.1 {status} X\r\n{}: {id}\r\n{}: {signature}\r\nContent-Length: {}\r\n\r\n",
+        names.attempt,
+        names.signature,
+        body.len()
+    );
+    [head.as_bytes(), body].concat()
+}
