Leave room for urgent work; call a store that is away from two nodes of a data centre

Urgent work first: the priority of a route was read and used nowhere. Servers take requests in the order in which they come, so work of a lower rank now leaves their queues short enough that more urgent work seen in the last 3 s is answered within its target; a quarter of it is sent like urgent work, so that no rank starves. A server with free slots takes anything. Ruled out: a queue by rank in each node. A node sees a few requests a second, so the order within it decides nothing.

While the store answered nobody, every node counted as one of the first that it answers and called once a second. Now the two first nodes of each data centre do; the others wait 5 s.

--- a/crates/core/src/process/mesh.rs
+++ b/crates/core/src/process/mesh.rs
@@ -232,6 +232,15 @@
         self.before(now).filter(|h| h.zone == self.zone).count() < self.options.readers
     }
 
+    /// Returns whether this node tries the store often while it does not answer, as one of the first of its data centre.
+    /// The others hear from these when it answers again.
+    pub fn is_prober(&self, now: Timestamp) -> bool {
+        let is_before = |addr: SocketAddr, h: &Hello| {
+            h.zone == self.zone && h.state != NodeState::Stopping && addr < self.own
+        };
+        self.alive(now).filter(|(addr, h)| is_before(*addr, h)).count() < self.options.readers
+    }
+
     /// Returns whether this node writes for the whole fleet to the store: the first one that the store answers.
     pub fn is_writer(&self, now: Timestamp) -> bool {
         self.before(now).next().is_none()
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -23,3 +23,4 @@
 pub mod registration;
 pub mod roster;
 pub mod steward;
+pub mod urgency;
--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -70,6 +70,8 @@
     pub tried: &'a [ServerId],
     /// The most requests of this node in flight at one server.
     pub limit: u32,
+    /// The longest expected answer time at a server that still gets the request. None for the most urgent work.
+    pub bound: Option<Span>,
 }
 
 /// `Choice` is the chosen server and what decided.
@@ -108,13 +110,17 @@
 ) -> Loss {
     let slots = f64::from(member.entry().slots.max(1)) * member.speed(now);
     let load = f64::from(member.load(roster.options().report_age, now) + 1) / slots;
-    let time = work.as_secs_f64() * load.max(1.0) / ask.target.as_secs_f64().max(1e-3);
-    let late = ((time - LATE_FROM) / (LATE_AT - LATE_FROM)).clamp(0.0, 1.0);
+    let time = work.as_secs_f64() * load.max(1.0);
+    let part = time / ask.target.as_secs_f64().max(1e-3);
+    let late = ((part - LATE_FROM) / (LATE_AT - LATE_FROM)).clamp(0.0, 1.0);
     let is_near = member.entry().zone == *ask.zone;
     let crossing = if is_near { 0.0 } else { options.zone_mb * ask.bytes / 1e6 };
     let failure = member.failure(&roster.options().belief, now);
     let even = options.even * load.min(MAX_LOAD);
-    Loss { all: ask.failure * failure + even + options.late * late + crossing, late }
+    let all = ask.failure * failure + even + options.late * late + crossing;
+    // A server with free slots keeps nobody waiting, however slow it is.
+    let is_over = load > 1.0 && ask.bound.is_some_and(|bound| time > bound.as_secs_f64());
+    Loss { all, late, is_over }
 }
 
 /// `Loss` is the expected loss at one server.
@@ -122,6 +128,8 @@
 struct Loss {
     all: f64,
     late: f64,
+    /// Whether the request would keep more urgent work waiting too long.
+    is_over: bool,
 }
 
 /// Chooses a server at random, those with a low expected loss far more often than others.
@@ -141,6 +149,7 @@
         .iter()
         .filter(|m| !ask.tried.contains(&m.entry().id) && m.in_flight() < ask.limit)
         .map(|m| (*m, loss(options, roster, now, m, ask, work)))
+        .filter(|(_, loss)| !loss.is_over)
         .collect();
     if let Some(unused) = below_floor(options, roster, now, &usable, &open, ask, rng) {
         return Some(Choice { is_trial: true, ..choice(roster, now, unused, open.len()) });
--- a/crates/core/src/process/roster.rs
+++ b/crates/core/src/process/roster.rs
@@ -8,6 +8,7 @@
         member::{Counts, Member, Presence, ServerReport},
         outcomes::{Outcomes, Tally},
         registration::{EntryState, ServerEntry, ServerId},
+        urgency::Urgency,
     },
     time::{Span, Timestamp},
 };
@@ -74,6 +75,7 @@
     by_tag: HashMap<u32, ServerId>,
     latencies: HashMap<ServiceName, Latency>,
     outcomes: HashMap<ServiceName, Outcomes>,
+    urgencies: HashMap<ServiceName, Urgency>,
     touched: Vec<ServerId>,
     recalled: HashMap<ServerId, Belief>,
     store_away: Option<Timestamp>,
@@ -90,6 +92,7 @@
             by_tag: HashMap::new(),
             latencies: HashMap::new(),
             outcomes: HashMap::new(),
+            urgencies: HashMap::new(),
             touched: Vec::new(),
             recalled: HashMap::new(),
             store_away: None,
@@ -393,6 +396,16 @@
         reports
     }
 
+    /// Notes the rank of a request of a service.
+    pub fn note_rank(&mut self, now: Timestamp, service: &ServiceName, rank: u8, target: Span) {
+        self.urgencies.entry(service.clone()).or_default().note(now, rank, target);
+    }
+
+    /// Returns the longest answer time at a server to which work of this rank may be added, see [`Urgency::bound`].
+    pub fn bound(&self, now: Timestamp, service: &ServiceName, rank: u8) -> Option<Span> {
+        self.urgencies.get(service)?.bound(now, rank)
+    }
+
     /// Counts the end of a request of a service.
     pub fn settle(&mut self, now: Timestamp, service: &ServiceName, is_served: bool) {
         self.outcomes.entry(service.clone()).or_default().settle(now, is_served);
--- a/crates/core/tests/mesh.rs
+++ b/crates/core/tests/mesh.rs
@@ -74,6 +74,21 @@
     assert!(mesh.is_writer(at(9_000)));
 }
 
+/// Guards against all nodes calling a store that answers none of them, and against none doing so.
+#[test]
+fn two_nodes_of_a_data_centre_try_a_store_that_is_away() {
+    let mut mesh = mesh();
+    for number in [1, 2, 3, 4] {
+        let hello = Hello { follows: false, ..hello(number, "a", NodeState::Ready) };
+        mesh.heard(at(100), addr(number), hello);
+    }
+    assert!(!mesh.is_prober(at(200)));
+    for number in [2, 3, 4] {
+        mesh.heard(at(300), addr(number), hello(number, "a", NodeState::Stopping));
+    }
+    assert!(mesh.is_prober(at(400)), "only node 1 comes before");
+}
+
 /// Guards against a node that asks one that knows no more than itself.
 #[test]
 fn newest_node_is_asked() {
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -259,7 +259,7 @@
 
 fn ask<'a>(service: &'a ServiceName, zone: &'a DataCentre, bytes: f64) -> Ask<'a> {
     let target = Span::from_secs(2);
-    Ask { service, target, zone, failure: 1.0, bytes, tried: &[], limit: 100 }
+    Ask { service, target, zone, failure: 1.0, bytes, tried: &[], limit: 100, bound: None }
 }
 
 /// Picks 3,000 times and returns how often each server was chosen.
@@ -343,6 +343,37 @@
     assert!(counts[&id(1)] > 2 * counts.get(&id(0)).copied().unwrap_or(0), "{counts:?}");
 }
 
+/// Guards against less urgent work that fills the queues of servers, so that urgent work is late behind it.
+#[test]
+fn less_urgent_work_leaves_room_for_urgent_work() {
+    let mut roster = roster(2);
+    for _ in 0..20 {
+        roster.observe(at(0) + Span::from_millis(500), &id(0), Signal::Success, at(0));
+    }
+    for (number, in_flight) in [(0, 30), (1, 12)] {
+        let report = ServerReport { tag: id(number).tag(), counts: Counts::default(), in_flight };
+        roster.hear(at(900), 77, &report);
+    }
+    let (service, zone) = (ServiceName::from("orders"), DataCentre::from("a"));
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut bounded = |roster: &Roster, rank, millis| {
+        let bound = roster.bound(at(millis), &service, rank);
+        let ask = Ask { bound, ..ask(&service, &zone, 0.0) };
+        pick(&PickerOptions::default(), roster, at(1_000), &ask, &mut rng).map(|c| c.id)
+    };
+    roster.note_rank(at(900), &service, 2, Span::from_secs(4));
+    assert!(bounded(&roster, 2, 1_000).is_some(), "no more urgent work is there");
+    // 13 requests at 6 slots take 1.1 s, and 31 take 2.6 s.
+    roster.note_rank(at(900), &service, 0, Span::from_millis(1_500));
+    for _ in 0..50 {
+        assert_eq!(bounded(&roster, 2, 1_000), Some(id(1)));
+    }
+    roster.note_rank(at(900), &service, 0, Span::from_millis(900));
+    assert_eq!(bounded(&roster, 2, 1_000), None);
+    assert!(bounded(&roster, 0, 1_000).is_some(), "the most urgent work has no bound");
+    assert!(bounded(&roster, 2, 4_000).is_some(), "the urgent work has ended");
+}
+
 /// Guards against long answers that cross data centres while servers near by are sound.
 #[test]
 fn long_answers_stay_in_the_data_centre() {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -28,6 +28,10 @@
 /// short beside the two seconds within which a change must be in force.
 const GATHER: Span = Span::from_millis(200);
 
+/// The pause after a failed call of a node that is not among the first of its data centre. Refused calls are priced too, and
+/// these nodes learn from the first ones.
+const PATIENT_PAUSE: Span = Span::from_secs(5);
+
 /// How often a node that does not follow the store looks whether it has to.
 const TURN_CHECK: Duration = Duration::from_millis(200);
 
@@ -148,8 +152,11 @@
     }
     fleet.roster.store_away(now);
     let is_first = !feed(&mut fleet, stream).is_away();
-    let pause = failed(&mut fleet, stream);
     let position = feed(&mut fleet, stream).position();
+    let mut pause = failed(&mut fleet, stream);
+    if position.is_some() && !fleet.mesh.is_prober(now) {
+        pause = PATIENT_PAUSE;
+    }
     drop(fleet);
     if is_first {
         log::warn!(target: "store", stream:% = stream, step:? = step, position:? = position,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,11 +14,7 @@
     telemetry,
 };
 use redwingtrestle_core::time::Span;
-use std::{
-    path::{Path, PathBuf},
-    sync::Arc,
-    thread,
-};
+use std::{path::Path, sync::Arc, thread};
 use tokio::{
     net::UdpSocket,
     runtime::{Builder, Runtime},
@@ -31,7 +27,7 @@
 /// Runs a gateway until it is told to stop.
 ///
 /// `path` is the settings file, which is read again at SIGHUP and when its text changes.
-pub fn run<S: Store>(settings: Settings, path: PathBuf, store: S, dialect: Dialect) -> Result<()> {
+pub fn run<S: Store>(settings: Settings, path: &Path, store: S, dialect: Dialect) -> Result<()> {
     telemetry::handle();
     let shared = Arc::new(Shared::new(settings, dialect));
     log::info!(target: "process", node = shared.settings.node.as_str(), start = shared.start,
@@ -51,7 +47,7 @@
         .map_err(|e| Error::start("control", &e))?;
     let result = entry.block_on(async {
         tokio::spawn(accept::serve(shared.clone(), listener));
-        wait(&shared, &path, signals).await;
+        wait(&shared, path, signals).await;
         stop::stop(&shared).await;
         Ok(())
     });
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -8,6 +8,7 @@
 };
 use futures_util::{future::BoxFuture, stream::FuturesUnordered, FutureExt, StreamExt};
 use hyper::StatusCode;
+use rand::Rng;
 use redwingtrestle_core::{
     codes::ResultCode,
     process::{
@@ -22,7 +23,7 @@
 /// The part of a route's target for which a request waits for a server to appear; then it is refused.
 const HOLD_PART: u64 = 8;
 
-/// The pause before a server that was full is asked again when no other is left.
+/// The pause after which a request that found no server with room looks again.
 const FULL_PAUSE: Span = Span::from_millis(150);
 
 /// The least time left with which a request is still sent. A server could not answer sooner.
@@ -43,6 +44,9 @@
 /// What a failure costs that is followed by another send, in failed requests: a delay and a part of the budget.
 const REPEATABLE_FAILURE: f64 = 0.8;
 
+/// The share of less urgent requests that are sent like the most urgent ones, so that no rank starves.
+const LEAST_SHARE: f64 = 0.25;
+
 /// The least share of a server's connections that one node may use.
 const LEAST_CONNECTIONS: u32 = 4;
 
@@ -82,6 +86,7 @@
 #[derive(Default)]
 struct Course {
     tried: Vec<ServerId>,
+    bound: Option<Span>,
     sends: u32,
     may_have_run: bool,
     is_shed: bool,
@@ -94,13 +99,26 @@
     /// Sends the request until there is an answer, no server is left to ask, or the time is up.
     pub async fn run(self, body: OutBody) -> Verdict {
         self.shared.count_request(&self.outgoing.service);
-        let mut course = Course::default();
+        let mut course = Course { bound: self.bound(), ..Course::default() };
         let verdict = self.attempts(body, &mut course).await;
         self.settle(&verdict, &course);
         self.log(&verdict, &course);
         verdict
     }
 
+    /// Returns the longest answer time at the servers that this request may use beside more urgent ones.
+    fn bound(&self) -> Option<Span> {
+        let now = self.shared.now();
+        let (service, rank) = (&self.outgoing.service, self.route.priority);
+        let mut fleet = self.shared.fleet();
+        fleet.roster.note_rank(now, service, rank, self.route.target);
+        let is_equal = fleet.rng.random::<f64>() < LEAST_SHARE;
+        if is_equal {
+            return None;
+        }
+        fleet.roster.bound(now, service, rank)
+    }
+
     async fn attempts(&self, body: OutBody, course: &mut Course) -> Verdict {
         let mut running: FuturesUnordered<BoxFuture<'_, (Choice, Ended)>> = FuturesUnordered::new();
         let mut body = Some(body);
@@ -240,25 +258,24 @@
             }
             let is_last = self.outgoing.once || course.sends + 1 >= self.route.attempts;
             let failure = if is_last { 1.0 } else { REPEATABLE_FAILURE };
-            if let Some(choice) = self.pick(&course.tried, failure) {
+            if let Some(choice) = self.pick(&course.tried, failure, course.bound) {
                 return Some(choice);
             }
             if course.is_shed && is_paused {
-                return self.pick(&[], failure);
+                return self.pick(&[], failure, course.bound);
             }
             if !may_wait || tokio::time::Instant::now() >= until {
                 return None;
             }
-            let pause = if course.is_shed { FULL_PAUSE.min(hold) } else { hold };
             is_paused = true;
             tokio::select! {
                 () = changed => {}
-                () = tokio::time::sleep(duration(pause)) => {}
+                () = tokio::time::sleep(duration(FULL_PAUSE.min(hold))) => {}
             }
         }
     }
 
-    fn pick(&self, tried: &[ServerId], failure: f64) -> Option<Choice> {
+    fn pick(&self, tried: &[ServerId], failure: f64, bound: Option<Span>) -> Option<Choice> {
         let shared = &self.shared;
         let now = shared.now();
         let catalog = shared.catalog.load();
@@ -275,6 +292,7 @@
             bytes: sizes.get(&self.route.name).copied().unwrap_or(FIRST_SIZE),
             tried,
             limit: (connections / nodes).max(LEAST_CONNECTIONS),
+            bound,
         };
         picker::pick(&shared.picker, roster, now, &ask, rng)
     }
@@ -295,10 +313,17 @@
             (true, _, _) => ResultCode::ServerLost,
             (false, true, _) => ResultCode::Shed,
             (false, false, false) => ResultCode::ConnectFailed,
+            (false, false, true) if self.has_servers() => ResultCode::QueueFull,
             (false, false, true) => ResultCode::NoServer,
         })
     }
 
+    /// Returns whether the service has servers, although none has room for this request.
+    fn has_servers(&self) -> bool {
+        let now = self.shared.now();
+        !self.shared.fleet().roster.usable(now, &self.outgoing.service).is_empty()
+    }
+
     /// Returns what the caller is told when its time is up.
     fn late(&self, course: &mut Course) -> Verdict {
         if let Some(answer) = course.fallback.take() {
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -25,8 +25,9 @@
 /// one still knows most of it.
 const SAVE: Duration = Duration::from_secs(1);
 
-/// The pause before a failed read is tried again.
+/// The first and the longest pause before a failed read is tried again. Refused calls are priced too.
 const READ_AGAIN: Duration = Duration::from_secs(1);
+const LAST_READ_AGAIN: Duration = Duration::from_secs(8);
 
 /// How often a node that hears no other one looks for nodes in the store.
 const LONELY_CHECK: u32 = 3;
@@ -45,8 +46,10 @@
 
 /// Reads what was saved, then saves what later processes need, until the process ends.
 pub async fn run<S: Store>(shared: Arc<Shared>, store: S) {
+    let mut pause = READ_AGAIN;
     while !read(&shared, &store).await {
-        tokio::time::sleep(READ_AGAIN).await;
+        tokio::time::sleep(pause).await;
+        pause = (2 * pause).min(LAST_READ_AGAIN);
     }
     let mut is_announced = false;
     let mut was_empty = true;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -89,7 +89,7 @@
         }
         Some(Command::Run(run)) => run_node(&run.settings),
         Some(Command::Check(check)) => check_settings(&check.settings),
-        Some(Command::Gateway(gateway)) => run_gateway(gateway),
+        Some(Command::Gateway(gateway)) => run_gateway(&gateway),
         Some(Command::DemoRun(demo)) => run_demo(&demo),
         None => Err("a command is needed; see redwingd --help".to_string()),
     };
@@ -121,7 +121,7 @@
     node.stop().map_err(|e| e.to_string())
 }
 
-fn run_gateway(args: Gateway) -> Result<(), String> {
+fn run_gateway(args: &Gateway) -> Result<(), String> {
     let settings = GatewaySettings::read(&args.settings)
         .map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))?;
     if args.check {
@@ -130,7 +130,7 @@
     }
     redwingtrestle_gateway::logs::start(&settings.log_filter).map_err(|e| e.to_string())?;
     let store = StoreClient::new(settings.store).map_err(|e| e.to_string())?;
-    gateway::run(settings, args.settings, store, dialect()).map_err(|e| e.to_string())
+    gateway::run(settings, &args.settings, store, dialect()).map_err(|e| e.to_string())
 }
 
 fn run_demo(args: &DemoRun) -> Result<(), String> {
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -35,6 +35,12 @@
 /// The share of the requests that is served once everything is sound.
 const SERVED: f64 = 0.97;
 
+/// The pause between the beginnings of two events.
+const EVENT_PAUSE_MS: std::ops::Range<u64> = 20..300;
+
+/// The share of events that make a server misbehave.
+const MISBEHAVIOUR: f64 = 0.3;
+
 /// How long a leaving server goes on serving after its registration says so.
 const LINGER: Duration = Duration::from_millis(2_600);
 
@@ -102,6 +108,16 @@
     Reuse,
 }
 
+impl Event {
+    /// Draws an event. Servers misbehave more often than anything else happens, as there are many ways to do so.
+    fn draw(rng: &mut StdRng) -> Event {
+        if rng.random_bool(MISBEHAVIOUR) {
+            return Event::ServerManner;
+        }
+        <Event as strum::IntoEnumIterator>::iter().choose(rng).expect("an event")
+    }
+}
+
 impl World {
     /// Starts everything and waits until all nodes are ready.
     pub async fn start(seed: u64, size: Size, folder: &Path) -> Arc<World> {
@@ -245,11 +261,10 @@
         let supervisor = tokio::spawn(async move { world.supervise(end).await });
         let mut events = JoinSet::new();
         while Instant::now() < until {
-            let kind = <Event as strum::IntoEnumIterator>::iter();
-            let event = kind.choose(&mut self.parts().rng).expect("an event");
+            let event = Event::draw(&mut self.parts().rng);
             let world = self.clone();
             events.spawn(async move { world.event(event).await });
-            tokio::time::sleep(self.random_ms(50..600)).await;
+            tokio::time::sleep(self.random_ms(EVENT_PAUSE_MS)).await;
         }
         while events.join_next().await.is_some() {}
         self.until_ready().await;
