Join code that stood twice: errors of starting, settings of call servers, recorders, bodies with a beginning

Gateway and node had twins of the error of a part that cannot start, of the settings of their JSON-RPC servers and of the installation of the metrics recorder; the node now uses the gateway's. The bodies of requests and of answers both passed on what was read and then the rest; that is one type. Behaviour stays; the message of a gateway's address in use has the node's form.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,6 +6,7 @@
     flight::Flight,
     outgoing::{OutBody, Outgoing},
     pool::{stated_idle, Link},
+    prefixed::Prefixed,
     reply::Passing,
     shared::Shared,
 };
@@ -241,7 +242,8 @@
         Ok(Collected::Part(first, rest)) => {
             let status = head.status;
             let end = Box::pin(tokio::time::sleep(duration(end.since(shared.now()))));
-            let passing = Passing { first: Some(first), rest, end, flight, link: Some(link) };
+            let body = Prefixed { first: Some(first), rest: Some(rest) };
+            let passing = Passing { body, end, flight, link: Some(link) };
             let answer = Answer {
                 status,
                 headers: head.headers,
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -1,14 +1,14 @@
-//! Errors of starting a gateway.
+//! Errors of starting a process or one of its parts.
 
 use redwingtrestle_core::codes::ResultCode;
 use snafu::Snafu;
 use std::net::SocketAddr;
 
-/// `Error` says why a gateway cannot start.
+/// `Error` says why a process cannot start.
 #[derive(Debug, Snafu)]
 pub enum Error {
     /// An address cannot be listened on.
-    #[snafu(display("{} {}: {part}: {addr}: {source}", code.number(), code))]
+    #[snafu(display("{} {}: {part} {addr}: {source}", code.number(), code))]
     Listen {
         /// The numbered code.
         code: ResultCode,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -22,9 +22,9 @@
 const STATE: &str = "gateway.state";
 
 /// The largest call or answer in bytes; 4,900 routes and 9,100 servers take about 4 MB.
-const MAX_BODY: u32 = 16 << 20;
+pub const MAX_BODY: u32 = 16 << 20;
 
-/// The most connections at once.
+/// The most connections of other nodes at once.
 const MAX_CONNECTIONS: u32 = 64;
 
 /// How long a call may take. The next tick tries another node.
@@ -53,16 +53,20 @@
     Since(Vec<ServerRecord>),
 }
 
-/// Starts to answer calls of other nodes.
-pub async fn serve(shared: Arc<Shared>) -> Result<ServerHandle> {
-    let addr = shared.settings.peer;
-    let config = ServerConfig::builder()
+/// Returns the settings of a server of calls between processes.
+pub fn config(max_connections: u32) -> ServerConfig {
+    ServerConfig::builder()
         .max_request_body_size(MAX_BODY)
         .max_response_body_size(MAX_BODY)
-        .max_connections(MAX_CONNECTIONS)
+        .max_connections(max_connections)
         .set_batch_request_config(BatchRequestConfig::Disabled)
         .http_only()
-        .build();
+        .build()
+}
+
+/// Starts to answer calls of other nodes.
+pub async fn serve(shared: Arc<Shared>) -> Result<ServerHandle> {
+    let addr = shared.settings.peer;
     let mut module = RpcModule::new(shared);
     module
         .register_method(STATE, |params, shared, _| {
@@ -70,7 +74,7 @@
             Ok::<_, ErrorObjectOwned>(state(shared, version, servers))
         })
         .map_err(|e| Error::start("exchange", &e))?;
-    let builder = jsonrpsee::server::Server::builder().set_config(config);
+    let builder = jsonrpsee::server::Server::builder().set_config(config(MAX_CONNECTIONS));
     let server = builder.build(addr).await.map_err(|e| Error::listen("exchange", addr, e))?;
     Ok(server.start(module))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod outgoing;
 pub mod peers;
 pub mod pool;
+pub mod prefixed;
 pub mod progress;
 pub mod reply;
 pub mod request;
--- a/crates/gateway/src/outgoing.rs
+++ b/crates/gateway/src/outgoing.rs
@@ -1,5 +1,6 @@
 //! Requests as they go to backend servers, and their bodies.
 
+use crate::prefixed::Prefixed;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::{
@@ -38,15 +39,17 @@
 /// `OutBody` is a request body: what was read already, and the rest if it is too long to be kept.
 #[derive(Debug, Default)]
 pub struct OutBody {
-    first: Option<Bytes>,
-    rest: Option<Incoming>,
+    body: Prefixed,
+    /// The bytes that the rest may have.
     left: u64,
 }
 
 impl OutBody {
     /// Returns the body once more, if all of it was kept.
     pub fn again(&self) -> Option<OutBody> {
-        self.rest.is_none().then(|| OutBody { first: self.first.clone(), rest: None, left: 0 })
+        let Prefixed { first, rest } = &self.body;
+        rest.is_none()
+            .then(|| OutBody { body: Prefixed { first: first.clone(), rest: None }, left: 0 })
     }
 }
 
@@ -58,17 +61,17 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        if let Some(first) = self.first.take() {
-            return Poll::Ready(Some(Ok(Frame::data(first))));
-        }
-        let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
-        let frame = match Pin::new(rest).poll_frame(context) {
+        let is_rest = self.body.first.is_none();
+        let frame = match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => frame,
             Poll::Ready(Some(Err(e))) => return Poll::Ready(Some(Err(io::Error::other(e)))),
             Poll::Ready(None) => return Poll::Ready(None),
             Poll::Pending => return Poll::Pending,
         };
-        let length = frame.data_ref().map_or(0, Bytes::len) as u64;
+        let length = match frame.data_ref() {
+            Some(data) if is_rest => data.len() as u64,
+            _ => 0,
+        };
         if length > self.left {
             return Poll::Ready(Some(Err(io::Error::other("the body is larger than the limit"))));
         }
@@ -77,15 +80,11 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.first.is_none() && self.rest.as_ref().is_none_or(Body::is_end_stream)
+        self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
-        match self.rest.as_ref().map_or(Some(0), |rest| rest.size_hint().exact()) {
-            Some(rest) => SizeHint::with_exact(first + rest),
-            None => SizeHint::default(),
-        }
+        self.body.size_hint()
     }
 }
 
@@ -99,7 +98,7 @@
         return Err(ResultCode::BodyTooLarge);
     }
     if body.size_hint().lower() > KEPT_BODY as u64 {
-        return Ok(OutBody { first: None, rest: Some(body), left: limit });
+        return Ok(OutBody { body: Prefixed { first: None, rest: Some(body) }, left: limit });
     }
     let mut bytes = BytesMut::new();
     let reading = async {
@@ -120,5 +119,5 @@
     }
     let left = limit - bytes.len() as u64;
     let first = (!bytes.is_empty()).then(|| bytes.freeze());
-    Ok(OutBody { first, rest: is_long.then_some(body), left })
+    Ok(OutBody { body: Prefixed { first, rest: is_long.then_some(body) }, left })
 }
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -1,9 +1,9 @@
 //! Answers to callers: whole ones, and those that are passed on while they arrive.
 
-use crate::{flight::Flight, pool::Link, progress::Busy, shared::OpenGuard};
+use crate::{flight::Flight, pool::Link, prefixed::Prefixed, progress::Busy, shared::OpenGuard};
 use bytes::Bytes;
 use hyper::{
-    body::{Body, Frame, Incoming, SizeHint},
+    body::{Body, Frame, SizeHint},
     header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, RETRY_AFTER},
     Response, StatusCode,
 };
@@ -52,10 +52,8 @@
 /// the whole.
 #[derive(Debug)]
 pub struct Passing {
-    /// What has arrived already.
-    pub first: Option<Bytes>,
-    /// The rest.
-    pub rest: Incoming,
+    /// The answer's body.
+    pub body: Prefixed,
     /// When the caller stops waiting.
     pub end: Pin<Box<Sleep>>,
     /// The send that the answer belongs to.
@@ -130,10 +128,7 @@
             Kind::Whole(bytes) => return Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Kind::Passing(passing) => passing,
         };
-        if let Some(first) = passing.first.take() {
-            return Poll::Ready(Some(Ok(Frame::data(first))));
-        }
-        match Pin::new(&mut passing.rest).poll_frame(context) {
+        match Pin::new(&mut passing.body).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
             Poll::Ready(Some(Err(e))) => Poll::Ready(Some(Err(passing.break_off(&e.to_string())))),
             Poll::Ready(None) => {
@@ -154,13 +149,7 @@
     fn size_hint(&self) -> SizeHint {
         match &self.kind {
             Kind::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Kind::Passing(passing) => {
-                let first = passing.first.as_ref().map_or(0, Bytes::len) as u64;
-                match passing.rest.size_hint().exact() {
-                    Some(rest) => SizeHint::with_exact(first + rest),
-                    None => SizeHint::default(),
-                }
-            }
+            Kind::Passing(passing) => passing.body.size_hint(),
         }
     }
 }
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -8,14 +8,19 @@
 /// The bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS: [f64; 12] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0];
 
-/// Installs the recorder and returns what renders it; later calls return the first one's.
+/// Installs a gateway's recorder.
 pub fn handle() -> &'static PrometheusHandle {
+    let matcher = Matcher::Suffix("_seconds".into());
+    let builder = PrometheusBuilder::new();
+    let builder = builder
+        .set_buckets_for_metric(matcher, &LATENCY_BOUNDS)
+        .unwrap_or_else(|_| PrometheusBuilder::new());
+    install(builder, describe)
+}
+
+/// Installs the recorder of this process and returns what renders it; later calls return the first one's.
+pub fn install(builder: PrometheusBuilder, describe: fn()) -> &'static PrometheusHandle {
     HANDLE.get_or_init(|| {
-        let matcher = Matcher::Suffix("_seconds".into());
-        let builder = PrometheusBuilder::new();
-        let builder = builder
-            .set_buckets_for_metric(matcher, &LATENCY_BOUNDS)
-            .unwrap_or_else(|_| PrometheusBuilder::new());
         let recorder = builder.build_recorder();
         let handle = recorder.handle();
         // Another recorder can only have been set by a test in the same process.
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -1,8 +1,9 @@
 //! The error of this package.
 
 use crate::settings::Fault;
-use redwingtrestle_core::codes::ResultCode;
+use redwingtrestle_gateway::error::Error as PartError;
 use snafu::Snafu;
+use std::{io, net::SocketAddr};
 
 /// `Error` says why a node could not start or go on.
 #[derive(Debug, Snafu)]
@@ -13,27 +14,11 @@
         /// The faults in the order of the file.
         faults: Vec<Fault>,
     },
-    /// A listening address cannot be used.
-    #[snafu(display("{} {}: {what} {addr}: {source}", code.number(), code))]
-    Listen {
-        /// The code of the refusal.
-        code: ResultCode,
-        /// What was to listen.
-        what: &'static str,
-        /// The address.
-        addr: std::net::SocketAddr,
-        /// The error of the operating system.
-        source: std::io::Error,
-    },
     /// A part of the node could not start.
-    #[snafu(display("{} {}: {part}: {what}", code.number(), code))]
-    Start {
-        /// The code of the refusal.
-        code: ResultCode,
-        /// The part.
-        part: &'static str,
-        /// What went wrong.
-        what: String,
+    #[snafu(transparent)]
+    Part {
+        /// The part, with the numbered code.
+        source: PartError,
     },
 }
 
@@ -44,13 +29,13 @@
     }
 
     /// Returns an error about a listening address.
-    pub fn listen(what: &'static str, addr: std::net::SocketAddr, source: std::io::Error) -> Self {
-        Error::Listen { code: ResultCode::AddressInUse, what, addr, source }
+    pub fn listen(part: &'static str, addr: SocketAddr, source: io::Error) -> Self {
+        PartError::listen(part, addr, source).into()
     }
 
     /// Returns an error about a part that could not start.
     pub fn start(part: &'static str, what: impl Into<String>) -> Self {
-        Error::Start { code: ResultCode::StartFailed, part, what: what.into() }
+        PartError::start(part, &what.into()).into()
     }
 }
 
--- a/crates/node/src/rpc.rs
+++ b/crates/node/src/rpc.rs
@@ -13,10 +13,11 @@
     core::client::ClientT,
     http_client::{HttpClient, HttpClientBuilder},
     rpc_params,
-    server::{BatchRequestConfig, RpcModule, ServerConfig},
+    server::RpcModule,
     types::ErrorObjectOwned,
 };
 use redwingtrestle_core::codes::ResultCode;
+use redwingtrestle_gateway::exchange::{self, MAX_BODY};
 use redwingtrestle_wire::{handover::METHOD, log::StateDoc};
 use std::{
     net::SocketAddr,
@@ -31,9 +32,6 @@
 /// The method by which a node fetches the accepted state of another.
 const FETCH: &str = "config.fetch";
 
-/// The largest call or answer in bytes; a state of 4,900 routes takes about 1 MB.
-pub(crate) const MAX_BODY: u32 = 16 << 20;
-
 /// The most connections at once.
 const MAX_CONNECTIONS: u32 = 256;
 
@@ -49,13 +47,7 @@
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(fail)?;
     let addr = shared.settings.peer;
-    let config = ServerConfig::builder()
-        .max_request_body_size(MAX_BODY)
-        .max_response_body_size(MAX_BODY)
-        .max_connections(MAX_CONNECTIONS)
-        .set_batch_request_config(BatchRequestConfig::Disabled)
-        .http_only()
-        .build();
+    let config = exchange::config(MAX_CONNECTIONS);
     let module = module(shared)?;
     let check = CheckToken::new(Token::from_env()?);
     let middleware = tower::ServiceBuilder::new().layer(check);
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -2,21 +2,12 @@
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use redwingtrestle_core::invariant::{violations, Invariant};
-use std::sync::OnceLock;
+use redwingtrestle_gateway::telemetry::install;
 use strum::IntoEnumIterator;
 
-static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
-
 /// Installs the recorder and returns what renders it; later calls return the first one's.
 pub fn handle() -> &'static PrometheusHandle {
-    HANDLE.get_or_init(|| {
-        let recorder = PrometheusBuilder::new().build_recorder();
-        let handle = recorder.handle();
-        // Another recorder can only have been set by a test in the same process.
-        let _ = metrics::set_global_recorder(recorder);
-        describe();
-        handle
-    })
+    install(PrometheusBuilder::new(), describe)
 }
 
 /// Renders all metrics, the counts of violated invariants included.
--- a/crates/node/tests/soak/server.rs
+++ b/crates/node/tests/soak/server.rs
@@ -36,12 +36,17 @@
     Cut,
     /// It runs them, answers, and sends one more answer with another id.
     Extra,
+    /// It runs them and answers with the id of another request.
+    Foreign,
     /// It runs them and never answers.
     Hang,
 }
 
-/// The usual time of the work.
+/// The usual time of the work, and that of one request in `LONG_EACH`, which is open when its caller leaves or its node
+/// stops.
 const WORK: Duration = Duration::from_millis(15);
+const LONG_WORK: Duration = Duration::from_millis(1_400);
+const LONG_EACH: u32 = 8;
 
 /// `Server` is one running backend server behind a link.
 #[derive(Debug)]
@@ -185,7 +190,12 @@
         return socket.write_all(text.as_bytes()).await.is_ok();
     }
     let signature = format!("{}.{number}.{}", me.id, me.service);
-    let work = if manner == Manner::Hang { Duration::from_secs(3_600) } else { WORK };
+    let is_long = arrival.id.bytes().map(u32::from).sum::<u32>() % LONG_EACH == 0;
+    let work = match manner {
+        Manner::Hang => Duration::from_secs(3_600),
+        _ if is_long => LONG_WORK,
+        _ => WORK,
+    };
     let mut byte = [0u8; 1];
     let was_left = tokio::select! {
         () = tokio::time::sleep(work) => false,
@@ -209,6 +219,7 @@
             let _ = socket.write_all(&answer[..answer.len() - body.len() / 2]).await;
             return false;
         }
+        Manner::Foreign => answer = whole(200, "another", &signature, b"not yours"),
         Manner::Extra => answer.extend(whole(200, "another", &signature, b"not yours")),
         _ => {}
     }
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -485,13 +485,14 @@
 
     async fn misbehave(&self) {
         let id = self.random_server();
-        let manner = match self.parts().rng.random_range(0..7) {
+        let manner = match self.parts().rng.random_range(0..8) {
             0 => Manner::Fail,
             1 => Manner::Shed,
             2 => Manner::Unmarked,
             3 => Manner::Lose,
             4 => Manner::Cut,
             5 => Manner::Extra,
+            6 => Manner::Foreign,
             _ => Manner::Hang,
         };
         let set = |manner| {
