--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -25,7 +25,7 @@
 
 impl Default for PickerOptions {
     fn default() -> Self {
-        PickerOptions { focus: 30.0, even: 0.1, late: 1.0, zone_mb: 0.0, floor: 0.7 }
+        PickerOptions { focus: 30.0, even: 0.2, late: 1.0, zone_mb: 0.0, floor: 0.7 }
     }
 }
 
