Bound a node's messages in a large data centre

A node told 24 of its neighbours about itself at each tick of 100 ms, so with more than 72 of them each was heard less often than the 900 ms after which a node counts as lost.

--- a/crates/core/src/process/mesh.rs
+++ b/crates/core/src/process/mesh.rs
@@ -40,7 +40,7 @@
 /// `MeshOptions` holds the intervals between messages and the limits of the fan-out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MeshOptions {
-    /// The time between two messages to a node of the own data centre.
+    /// The time between two messages to a node of the own data centre, while it has no more nodes than the fan-out.
     pub near: Span,
     /// The time between two messages to a node of another data centre. It is longer because traffic between data
     /// centres is paid for.
@@ -85,12 +85,14 @@
     own: SocketAddr,
     zone: DataCentre,
     peers: HashMap<SocketAddr, Peer>,
+    /// The known nodes of the own data centre.
+    neighbours: usize,
 }
 
 impl Mesh {
     /// Returns the view of the node at `own`, which knows nobody.
     pub fn new(options: MeshOptions, own: SocketAddr, zone: DataCentre) -> Self {
-        Mesh { options, own, zone, peers: HashMap::new() }
+        Mesh { options, own, zone, peers: HashMap::new(), neighbours: 0 }
     }
 
     /// Notes the address of a node that was named by someone else, and returns whether it was new.
@@ -124,12 +126,15 @@
         now.since(peer.heard) <= self.interval(&hello.zone).times(self.options.missed)
     }
 
+    /// Returns the time between two messages to a node of a data centre.
+    ///
+    /// In a data centre with more nodes than the fan-out it grows with their number, so that a node's messages a second
+    /// do not.
     fn interval(&self, zone: &DataCentre) -> Span {
-        if *zone == self.zone {
-            self.options.near
-        } else {
-            self.options.far
+        if *zone != self.zone {
+            return self.options.far;
         }
+        self.options.near.times(self.neighbours.div_ceil(self.options.fan_near).max(1) as u64)
     }
 
     /// Returns the nodes that are heard, with what they last said.
@@ -151,7 +156,9 @@
     /// Returns the nodes to which a message about this node is due, and counts it as sent.
     pub fn due(&mut self, now: Timestamp, rng: &mut impl Rng) -> Vec<SocketAddr> {
         self.peers.retain(|_, p| now.since(p.heard) <= FORGET);
-        let (near, far) = (self.options.near, self.options.far);
+        let is_near = |p: &&Peer| p.hello.as_ref().is_some_and(|h| h.zone == self.zone);
+        self.neighbours = self.peers.values().filter(is_near).count();
+        let (near, far) = (self.interval(&self.zone), self.options.far);
         let mut due: HashMap<Option<DataCentre>, Vec<SocketAddr>> = HashMap::new();
         for (addr, peer) in &self.peers {
             let zone = peer.hello.as_ref().map(|h| h.zone.clone());
--- a/crates/core/tests/mesh.rs
+++ b/crates/core/tests/mesh.rs
@@ -129,6 +129,23 @@
     assert_eq!((near.len(), relays.len()), (options.fan_near, 1));
 }
 
+/// Guards against messages that grow with the square of the fleet, and against nodes that then take each other for lost.
+#[test]
+fn messages_of_a_node_are_bounded_in_a_large_data_centre() {
+    let mut mesh = Mesh::new(MeshOptions::default(), addr(255), "a".into());
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut sent = 0;
+    for tick in 0..100 {
+        let now = at(tick * 100);
+        for number in (1..=96).filter(|number| u64::from(number % 12) == tick % 12) {
+            mesh.heard(now, addr(number), hello(number, "a", NodeState::Ready));
+        }
+        sent += mesh.due(now, &mut rng).len();
+        assert!(tick < 12 || mesh.size(now) == 97, "tick {tick}: {} are heard", mesh.size(now));
+    }
+    assert!((700..=900).contains(&sent), "24 each 300 ms are 800 in 10 s: {sent}");
+}
+
 /// Guards against a whole data centre that fetches a large configuration from one node and fills its link.
 #[test]
 fn nodes_that_know_the_same_are_asked_in_turn() {
