Spread work only above half of a server's slots

Below it, work stays at servers that have just shown to be sound, so fewer requests meet a server as it begins to fail.

--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -32,6 +32,10 @@
 /// The load, in multiples of the slots, above which more load no longer matters for an even spread.
 const MAX_LOAD: f64 = 5.0;
 
+/// The load, in multiples of the slots, up to which more load does not matter either. Work then stays at the servers that
+/// have just shown to be sound, and fewer requests meet a server at the moment in which it begins to fail.
+const EVEN_FROM: f64 = 0.5;
+
 /// The expected answer time, in parts of the target, from which on a late answer is feared, and at which it is certain.
 const LATE_FROM: f64 = 0.6;
 const LATE_AT: f64 = 1.2;
@@ -116,7 +120,7 @@
     let is_near = member.entry().zone == *ask.zone;
     let crossing = if is_near { 0.0 } else { options.zone_mb * ask.bytes / 1e6 };
     let failure = member.failure(&roster.options().belief, now);
-    let even = options.even * load.min(MAX_LOAD);
+    let even = options.even * (load.min(MAX_LOAD) - EVEN_FROM).max(0.0);
     let all = ask.failure * failure + even + options.late * late + crossing;
     // A server with free slots keeps nobody waiting, however slow it is.
     let is_over = load > 1.0 && ask.bound.is_some_and(|bound| time > bound.as_secs_f64());
