Use a larger share of servers while callers are not served

Only 29 of 160 servers counted as sound, because faults lay on the others or their links, so the unused ones were a larger part of them than of all. Nodes do not know which servers count. While more than 6% of a service's requests are not served, nodes now use 90% of its servers, not 80. Ruled out: the share of unserved requests being noticed late; it was 14% over the 2 s, and nodes act at 6%. more_servers_are_used_while_callers_are_not_served failed before.

--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -50,6 +50,10 @@
 /// known to it: among those that do, the share of unused ones may be larger than among all.
 const FLOOR_MARGIN: f64 = 0.1;
 
+/// The same while the service does not serve its callers. Faults then make many servers unsound, and the unused ones are
+/// found among the few that count.
+const FAILING_MARGIN: f64 = 0.2;
+
 /// The share of unserved requests from which on the declared share of servers is used however bad they look. Below it,
 /// the servers that are left serve the callers, and work at those that probably fail would only add failures.
 const FAILING_SERVICE: f64 = 0.06;
@@ -189,12 +193,14 @@
         return None;
     }
     let used = usable.iter().filter(|m| m.is_used(now, IN_USE)).count();
-    let share = (options.floor + FLOOR_MARGIN).min(1.0);
+    let is_failing = roster.unserved(now, ask.service) >= FAILING_SERVICE;
+    let margin = if is_failing { FAILING_MARGIN } else { FLOOR_MARGIN };
+    let share = (options.floor + margin).min(1.0);
     let lack = ((usable.len() as f64 * share).ceil() as usize).saturating_sub(used);
     if rng.random_range(0..usable.len()) >= lack {
         return None;
     }
-    let takes_risk = ask.failure < 1.0 || roster.unserved(now, ask.service) >= FAILING_SERVICE;
+    let takes_risk = ask.failure < 1.0 || is_failing;
     let belief = &roster.options().belief;
     let is_due = |m: &Member| takes_risk || m.failing(belief, now) < TRIAL;
     let is_near = |m: &Member| m.entry().zone == *ask.zone;
