--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -58,10 +58,6 @@
 /// the servers that are left serve the callers, and work at those that probably fail would only add failures.
 const FAILING_SERVICE: f64 = 0.04;
 
-/// The share of a service's requests that can be sent again above which those keep its servers in use, and the others are
-/// not risked for it.
-const MOSTLY: f64 = 0.5;
-
 /// The probability of failing below which an unused server is tried with a request that cannot be sent again.
 const TRIAL: f64 = 0.6;
 
@@ -196,10 +192,6 @@
     if options.floor == 0.0 || open.is_empty() {
         return None;
     }
-    let is_repeatable = ask.failure < 1.0;
-    if !is_repeatable && roster.repeatable(ask.service) > MOSTLY {
-        return None;
-    }
     let used = usable.iter().filter(|m| m.is_used(now, IN_USE)).count();
     let is_failing = roster.unserved(now, ask.service) >= FAILING_SERVICE;
     let margin = if is_failing { FAILING_MARGIN } else { FLOOR_MARGIN };
@@ -208,7 +200,7 @@
     if rng.random_range(0..usable.len()) >= lack {
         return None;
     }
-    let takes_risk = is_repeatable || is_failing;
+    let takes_risk = ask.failure < 1.0 || is_failing;
     let belief = &roster.options().belief;
     let is_due = |m: &Member| takes_risk || m.failing(belief, now) < TRIAL;
     let is_near = |m: &Member| m.entry().zone == *ask.zone;
--- a/crates/core/src/process/roster.rs
+++ b/crates/core/src/process/roster.rs
@@ -401,16 +401,6 @@
         self.urgencies.entry(service.clone()).or_default().note(now, rank, target);
     }
 
-    /// Notes whether a request of a service can be sent again.
-    pub fn note_repeatable(&mut self, service: &ServiceName, is_repeatable: bool) {
-        self.urgencies.entry(service.clone()).or_default().note_repeatable(is_repeatable);
-    }
-
-    /// Returns the share of a service's newest requests that can be sent again.
-    pub fn repeatable(&self, service: &ServiceName) -> f64 {
-        self.urgencies.get(service).map_or(0.0, Urgency::repeatable)
-    }
-
     /// Returns the longest answer time at a server to which work of this rank may be added, see [`Urgency::bound`].
     pub fn bound(&self, now: Timestamp, service: &ServiceName, rank: u8) -> Option<Span> {
         self.urgencies.get(service)?.bound(now, rank)
--- a/crates/core/src/process/urgency.rs
+++ b/crates/core/src/process/urgency.rs
@@ -1,18 +1,14 @@
-//! Which work a service has at present: how long more urgent work lets less urgent work wait, and how much can be sent again.
+//! Which ranks of work a service has at present, and how long more urgent work lets less urgent work wait.
 
 use crate::time::{Span, Timestamp};
 
 /// How long after its last request a rank still counts. A node sees some ranks less than once a second.
 const RECENT: Span = Span::from_secs(3);
 
-/// The weight of the newest request in the share of those that can be sent again.
-const NEWEST: f64 = 0.05;
-
 /// `Urgency` remembers the ranks of a service's newest requests.
 #[derive(Clone, Debug, Default)]
 pub struct Urgency {
     ranks: Vec<Seen>,
-    repeatable: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -23,16 +19,6 @@
 }
 
 impl Urgency {
-    /// Notes whether a request can be sent again.
-    pub fn note_repeatable(&mut self, is_repeatable: bool) {
-        self.repeatable += NEWEST * (f64::from(u8::from(is_repeatable)) - self.repeatable);
-    }
-
-    /// Returns the share of the newest requests that can be sent again.
-    pub fn repeatable(&self) -> f64 {
-        self.repeatable
-    }
-
     /// Notes a request; the priority 0 is the most urgent.
     pub fn note(&mut self, now: Timestamp, priority: u8, target: Span) {
         self.ranks.retain(|seen| now.since(seen.at) < RECENT && seen.priority != priority);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -112,7 +112,6 @@
         let (service, rank) = (&self.outgoing.service, self.route.priority);
         let mut fleet = self.shared.fleet();
         fleet.roster.note_rank(now, service, rank, self.route.target);
-        fleet.roster.note_repeatable(service, !self.outgoing.once);
         let is_equal = fleet.rng.random::<f64>() < LEAST_SHARE;
         if is_equal {
             return None;
