--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -13,7 +13,8 @@
 pub struct PickerOptions {
     /// How strongly a higher loss lowers the share of a server: a loss of 1 / `focus` more divides it by e.
     pub focus: f64,
-    /// The loss of a request at a server all of whose slots are busy. It spreads requests evenly.
+    /// The loss of a request for each multiple of a server's slots by which its load is above half of them. It spreads
+    /// requests evenly.
     pub even: f64,
     /// The loss of a request whose answer comes after its target.
     pub late: f64,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -57,7 +57,8 @@
     /// How strongly servers with a lower expected loss are preferred.
     #[serde(default = "defaults::focus")]
     pub focus: f64,
-    /// The loss of a request at a server whose slots are all busy, in failed requests.
+    /// The loss of a request for each multiple of a server's slots by which its load is above half of them, in failed
+    /// requests.
     #[serde(default = "defaults::even_cost")]
     pub even_cost: f64,
     /// The loss of a request whose answer is late, in failed requests.
