Let fan-outs and status intervals follow from the size of the fleet

A report of a failure reached 24 of the 31 to 37 other nodes of its data centre, and two thirds of the others', so a third of the nodes sent their next request to the failing server and took used servers for unused (trials for the floor failed 2.8% of all orders). With more than about 120 nodes in another data centre, its nodes heard from each other less often than the limit for lost nodes, and the directory listed the 64 lowest addresses only.

Now: failures go to up to 64 nodes of a data centre at once, all else to up to 48, relayed reports of other data centres are sent on together each 250 ms, status intervals keep a node at 80 and 40 messages a second, the receiver expects the interval of the sender's fleet, and the directory draws its 64 entries.

Ruled out: processor time (0.0045 of 0.25 cores a node), memory (6.8 MB), links (no datagrams lost by size).

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod drain;
 pub mod ejections;
 pub mod evidence;
+pub mod fan_out;
 pub mod health_estimate;
 pub mod heartbeat;
 pub mod latency;
--- a/crates/core/src/process/peer_table.rs
+++ b/crates/core/src/process/peer_table.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     ids::DataCentre,
+    process::fan_out::{FleetSize, MAX_FAILURE_BATCH, MAX_NEAR_BATCH},
     time::{Span, Timestamp},
 };
 use rand::{seq::IteratorRandom, Rng};
@@ -37,33 +38,25 @@
     pub store_reachable: bool,
 }
 
-/// Message intervals and fan-out limits.
+/// Limits of the peer table that do not depend on the size of the fleet; the others are in [`FleetSize`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerTableOptions {
-    /// Message interval to a node of the same data centre while that has no more nodes than `near_fanout`. With more
-    /// nodes, the interval grows.
-    pub near_interval: Span,
-    /// Message interval to a node of another data centre. It is longer because traffic between data centres is
-    /// charged.
-    pub far_interval: Span,
     /// Number of missed intervals after which a node counts as lost.
     pub missed_intervals: u64,
     /// Number of nodes per data centre that watch the store for the others. With two, the loss of one has no effect.
     pub store_readers: usize,
-    /// Maximum nodes of the same data centre that get each message.
+    /// Maximum nodes of the same data centre that get a status message at once.
     pub near_fanout: usize,
-    /// Maximum nodes of each other data centre that get each message.
+    /// Maximum nodes of each other data centre that get a status message at once.
     pub far_fanout: usize,
 }
 
 impl Default for PeerTableOptions {
     fn default() -> Self {
         PeerTableOptions {
-            near_interval: Span::from_millis(300),
-            far_interval: Span::from_millis(1_000),
             missed_intervals: 3,
             store_readers: 2,
-            near_fanout: 24,
+            near_fanout: MAX_NEAR_BATCH,
             far_fanout: 4,
         }
     }
@@ -88,14 +81,14 @@
     own: SocketAddr,
     zone: DataCentre,
     peers: HashMap<SocketAddr, Peer>,
-    /// Number of known nodes in the same data centre.
-    near_count: usize,
+    /// Known nodes by data centre, without this one.
+    zone_sizes: HashMap<DataCentre, usize>,
 }
 
 impl PeerTable {
     /// Creates an empty table for the node at the peer address `own`.
     pub fn new(options: PeerTableOptions, own: SocketAddr, zone: DataCentre) -> Self {
-        PeerTable { options, own, zone, peers: HashMap::new(), near_count: 0 }
+        PeerTable { options, own, zone, peers: HashMap::new(), zone_sizes: HashMap::new() }
     }
 
     /// Adds the address of a node learned from a third party. Returns whether it is new.
@@ -113,8 +106,13 @@
             return false;
         }
         let was_live = self.is_live_start(now, addr, status.start);
+        let zone = status.zone.clone();
+        let status = Some(status);
         let last_sent = self.peers.get(&addr).and_then(|p| p.last_sent);
-        self.peers.insert(addr, Peer { status: Some(status), last_received: now, last_sent });
+        let old = self.peers.insert(addr, Peer { status, last_received: now, last_sent });
+        if old.and_then(|p| p.status).is_none_or(|s| s.zone != zone) {
+            self.update_zone_sizes();
+        }
         !was_live
     }
 
@@ -126,21 +124,41 @@
 
     fn is_live(&self, now: Timestamp, peer: &Peer) -> bool {
         let Some(status) = &peer.status else { return false };
-        now.since(peer.last_received)
-            <= self.interval(&status.zone).times(self.options.missed_intervals)
+        let limit = self.interval_of(&status.zone).times(self.options.missed_intervals);
+        now.since(peer.last_received) <= limit
     }
 
-    /// Returns the message interval to a node of a data centre.
-    ///
-    /// In a data centre with more nodes than the fan-out the interval grows with their number, which keeps the message
-    /// rate of a node constant.
-    fn interval(&self, zone: &DataCentre) -> Span {
-        if *zone != self.zone {
-            return self.options.far_interval;
+    /// Returns the size of the fleet as a node of `zone` sees it.
+    fn size_seen_from(&self, zone: &DataCentre) -> FleetSize {
+        let in_zone = |zone: &DataCentre| {
+            self.zone_sizes.get(zone).copied().unwrap_or(0) + usize::from(*zone == self.zone)
+        };
+        let all = 1 + self.zone_sizes.values().sum::<usize>();
+        let same = in_zone(zone);
+        FleetSize { near: same.saturating_sub(1), far: all - same }
+    }
+
+    /// Returns the interval at which a node of `zone` sends its status to this node. It follows from the fleet that the
+    /// sender sees: a node of a small data centre has more nodes to inform elsewhere.
+    fn interval_of(&self, zone: &DataCentre) -> Span {
+        let size = self.size_seen_from(zone);
+        if *zone == self.zone {
+            size.near_interval()
+        } else {
+            size.far_interval()
+        }
+    }
+
+    /// Returns the size of the fleet as this node sees it.
+    pub fn fleet_size(&self) -> FleetSize {
+        self.size_seen_from(&self.zone)
+    }
+
+    fn update_zone_sizes(&mut self) {
+        self.zone_sizes.clear();
+        for status in self.peers.values().filter_map(|peer| peer.status.as_ref()) {
+            *self.zone_sizes.entry(status.zone.clone()).or_default() += 1;
         }
-        self.options
-            .near_interval
-            .times(self.near_count.div_ceil(self.options.near_fanout).max(1) as u64)
     }
 
     /// Returns the live nodes with their newest status.
@@ -161,10 +179,13 @@
 
     /// Returns the nodes that are due a status message and records it as sent.
     pub fn take_due(&mut self, now: Timestamp, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let known = self.peers.len();
         self.peers.retain(|_, p| now.since(p.last_received) <= SILENT_RETENTION);
-        let is_near = |p: &&Peer| p.status.as_ref().is_some_and(|s| s.zone == self.zone);
-        self.near_count = self.peers.values().filter(is_near).count();
-        let (near, far) = (self.interval(&self.zone), self.options.far_interval);
+        if self.peers.len() != known {
+            self.update_zone_sizes();
+        }
+        let size = self.fleet_size();
+        let (near, far) = (size.near_interval(), size.far_interval());
         let mut due: HashMap<Option<DataCentre>, Vec<SocketAddr>> = HashMap::new();
         for (addr, peer) in &self.peers {
             let zone = peer.status.as_ref().map(|s| s.zone.clone());
@@ -190,29 +211,46 @@
         chosen
     }
 
-    /// Returns the targets of a report: nodes of the same data centre, and one relay in each other data centre.
+    /// Returns the targets of a periodic report: nodes of the same data centre, and one relay in each other.
     pub fn report_targets(
         &self,
         now: Timestamp,
         rng: &mut impl Rng,
     ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let near = self.nearby_peers(now, rng);
+        (self.nearby_peers(now, rng), self.relays(now, rng))
+    }
+
+    /// Returns the targets of a report of failures, which reaches more nodes than a periodic one.
+    pub fn failure_targets(
+        &self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let near = self.near_sample(now, MAX_FAILURE_BATCH, rng);
+        (near, self.relays(now, rng))
+    }
+
+    /// Returns one node in each other data centre.
+    fn relays(&self, now: Timestamp, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let mut zones: HashMap<&DataCentre, Vec<SocketAddr>> = HashMap::new();
         for (addr, status) in self.live_peers(now).filter(|(_, s)| s.zone != self.zone) {
             zones.entry(&status.zone).or_default().push(addr);
         }
-        let relays =
-            zones.into_values().filter_map(|addrs| addrs.into_iter().choose(rng)).collect();
-        (near, relays)
+        zones.into_values().filter_map(|addrs| addrs.into_iter().choose(rng)).collect()
     }
 
-    /// Returns a random selection of live nodes in the same data centre, limited by the fan-out.
+    /// Returns a random selection of live nodes in the same data centre that get a periodic report.
     pub fn nearby_peers(&self, now: Timestamp, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        self.near_sample(now, self.options.near_fanout, rng)
+    }
+
+    fn near_sample(&self, now: Timestamp, count: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let near = self.live_peers(now).filter(|(_, s)| s.zone == self.zone).map(|(addr, _)| addr);
-        near.choose_multiple(rng, self.options.near_fanout)
+        near.choose_multiple(rng, count)
     }
 
-    /// Returns up to `max` entries for a caller in `zone`; `own` is this node's entry if it serves callers.
+    /// Returns up to `max` entries for a caller in `zone`, chosen at random if there are more; `own` is this node's
+    /// entry if it serves callers.
     ///
     /// Callers get the entries of their own data centre, because responses from another one are slower and charged. If
     /// there are fewer than two, they get all entries, because a single entry may fail at any moment.
@@ -222,6 +260,7 @@
         zone: &str,
         own: Option<SocketAddr>,
         max: usize,
+        rng: &mut impl Rng,
     ) -> Vec<SocketAddr> {
         let mut all: Vec<(bool, SocketAddr)> = self
             .live_peers(now)
@@ -230,13 +269,9 @@
             .collect();
         all.extend(own.map(|entry| (self.zone.as_str() == zone, entry)));
         let near = all.iter().filter(|(is_near, _)| *is_near).count();
-        let mut entries: Vec<SocketAddr> = all
-            .into_iter()
-            .filter(|(is_near, _)| near < MIN_NEAR_ENTRIES || *is_near)
-            .map(|(_, entry)| entry)
-            .collect();
+        let usable = all.into_iter().filter(|(is_near, _)| near < MIN_NEAR_ENTRIES || *is_near);
+        let mut entries = usable.map(|(_, entry)| entry).choose_multiple(rng, max);
         entries.sort_unstable();
-        entries.truncate(max);
         entries
     }
 
--- a/crates/core/tests/peer_table.rs
+++ b/crates/core/tests/peer_table.rs
@@ -40,7 +40,7 @@
 
 fn entries(peers: &PeerTable, now: Timestamp, zone: &str) -> Vec<u8> {
     let own = Some(([10, 0, 0, 5], 8_000).into());
-    let found = peers.entries(now, zone, own, 64);
+    let found = peers.entries(now, zone, own, 64, &mut StdRng::seed_from_u64(3));
     found.iter().filter_map(|entry| entry.to_string()[7..8].parse().ok()).collect()
 }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -33,6 +33,15 @@
 /// The largest number of services whose outcome counts fit beside the rows of a report.
 const MAX_OUTCOMES: usize = 20;
 
+/// The largest encoded sizes of a report's head, of one of its rows and of the outcome counts of a service, in bytes.
+const MAX_REPORT_HEAD: usize = 16;
+const MAX_ROW_SIZE: usize = 13;
+const MAX_OUTCOMES_SIZE: usize = 15;
+
+/// The largest number of reports of other data centres that wait to be relayed. Further ones are dropped, as the next
+/// report of the same node replaces most of what they say.
+const MAX_QUEUED_RELAYS: usize = 256;
+
 /// How often the gossip task checks which messages are due.
 const TICK_INTERVAL: Span = Span::from_millis(100);
 
@@ -82,6 +91,28 @@
     Nodes(Vec<SocketAddr>),
     /// Observations of the node `from`. If `relay` is set, the receiver relays the report in its own data centre.
     Report { from: u64, relay: bool, rows: Vec<RowDoc>, outcomes: Vec<OutcomesDoc> },
+    /// Periodic reports of nodes in other data centres, which the sender relays together.
+    Relayed(Vec<ReportDoc>),
+}
+
+/// The observations of one node.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct ReportDoc {
+    from: u64,
+    rows: Vec<RowDoc>,
+    outcomes: Vec<OutcomesDoc>,
+}
+
+impl ReportDoc {
+    /// Returns an upper bound of the encoded size, in bytes.
+    fn max_size(&self) -> usize {
+        MAX_REPORT_HEAD + self.rows.len() * MAX_ROW_SIZE + self.outcomes.len() * MAX_OUTCOMES_SIZE
+    }
+
+    /// Returns whether the report contains a failed request or connection attempt.
+    fn has_failure(&self) -> bool {
+        self.rows.iter().any(|row| row.errors > 0 || row.lost > 0 || row.slow > 0)
+    }
 }
 
 /// The encoding of the outcome counts of one service.
@@ -158,11 +189,14 @@
     shared: Arc<Shared>,
     socket: UdpSocket,
     last_report: Timestamp,
+    last_relayed: Timestamp,
     behind_since: Option<Timestamp>,
     last_restart: Timestamp,
     is_fetching: Arc<AtomicBool>,
     suspended: Span,
     live_nodes: usize,
+    /// Periodic reports of other data centres that are relayed with this node's next report.
+    relay_queue: Vec<ReportDoc>,
 }
 
 impl Gossip {
@@ -182,11 +216,13 @@
             shared,
             socket,
             last_report: now,
+            last_relayed: now,
             behind_since: None,
             last_restart: Timestamp::ZERO,
             is_fetching: Arc::default(),
             suspended,
             live_nodes: 0,
+            relay_queue: Vec::new(),
         }
     }
 
@@ -208,7 +244,7 @@
                 _ = tick.tick() => self.tick().await,
                 () = shared.report_now.notified() => {
                     tokio::time::sleep(duration(URGENT_REPORT_DELAY)).await;
-                    self.report().await;
+                    self.send_report(true).await;
                 }
                 Ok(()) = phase.changed() => self.send_status_to_all().await,
                 () = shared.store_updates.notified() => self.send_status_nearby().await,
@@ -255,24 +291,15 @@
                 }
             }
             Ok(Datagram::Report { from, relay, rows, outcomes }) => {
-                {
-                    let mut fleet = self.shared.fleet();
-                    for row in &rows {
-                        fleet.registry.add_peer_report(now, from, &ServerReport::from(*row));
-                    }
-                    for (tag, counts) in outcomes.iter().copied().map(<(u32, OutcomeCounts)>::from)
-                    {
-                        fleet.registry.add_peer_outcomes(now, tag, counts);
-                    }
-                }
+                let report = ReportDoc { from, rows, outcomes };
+                self.apply_report(now, &report);
                 if relay {
-                    let near = {
-                        let mut fleet = self.shared.fleet();
-                        let Fleet { peers, rng, .. } = &mut *fleet;
-                        peers.nearby_peers(now, rng)
-                    };
-                    self.send(&Datagram::Report { from, relay: false, rows, outcomes }, &near)
-                        .await;
+                    self.relay(now, report).await;
+                }
+            }
+            Ok(Datagram::Relayed(reports)) => {
+                for report in &reports {
+                    self.apply_report(now, report);
                 }
             }
             Err(e) => {
@@ -283,6 +310,44 @@
         }
     }
 
+    fn apply_report(&self, now: Timestamp, report: &ReportDoc) {
+        let mut fleet = self.shared.fleet();
+        for row in &report.rows {
+            fleet.registry.add_peer_report(now, report.from, &ServerReport::from(*row));
+        }
+        for (tag, counts) in report.outcomes.iter().copied().map(<(u32, OutcomeCounts)>::from) {
+            fleet.registry.add_peer_outcomes(now, tag, counts);
+        }
+    }
+
+    /// Relays a report of another data centre: failures at once, all else with this node's next report.
+    async fn relay(&mut self, now: Timestamp, report: ReportDoc) {
+        if !report.has_failure() {
+            if self.relay_queue.len() < MAX_QUEUED_RELAYS {
+                self.relay_queue.push(report);
+            }
+            return;
+        }
+        let (near, _) = self.report_targets(now, true);
+        let ReportDoc { from, rows, outcomes } = report;
+        self.send(&Datagram::Report { from, relay: false, rows, outcomes }, &near).await;
+    }
+
+    /// Returns the nodes of this data centre, and the relays of the others, that get a report.
+    fn report_targets(
+        &self,
+        now: Timestamp,
+        is_failure: bool,
+    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let mut fleet = self.shared.fleet();
+        let Fleet { peers, rng, .. } = &mut *fleet;
+        if is_failure {
+            peers.failure_targets(now, rng)
+        } else {
+            peers.report_targets(now, rng)
+        }
+    }
+
     /// Sends this node's status and the addresses of known nodes to a new node.
     async fn send_status_and_nodes(&self, to: SocketAddr) {
         let mut known = self.shared.fleet().peers.addresses();
@@ -334,7 +399,10 @@
             self.send(&self.status(), &due).await;
         }
         if now.since(self.last_report) >= REPORT_INTERVAL {
-            self.report().await;
+            self.send_report(false).await;
+        }
+        if now.since(self.last_relayed) >= REPORT_INTERVAL {
+            self.send_relayed().await;
         }
         self.shared.pool.close_expired(now);
         self.fetch_newer_state(now);
@@ -392,24 +460,21 @@
         });
     }
 
-    async fn report(&mut self) {
+    /// Sends the observations since the last report. One with a failure goes to more nodes.
+    async fn send_report(&mut self, has_failure: bool) {
         let now = self.shared.now();
         self.last_report = now;
-        let (mut rows, mut outcomes, near, relays) = {
+        let (mut rows, mut outcomes) = {
             let mut fleet = self.shared.fleet();
-            let Fleet { peers, rng, registry, .. } = &mut *fleet;
+            let registry = &mut fleet.registry;
             let rows: Vec<RowDoc> = registry.take_reports().into_iter().map(RowDoc::from).collect();
             if rows.is_empty() {
                 return;
             }
-            let outcomes = registry
-                .take_outcome_counts()
-                .into_iter()
-                .map(OutcomesDoc::from)
-                .collect::<Vec<_>>();
-            let (near, relays) = peers.report_targets(now, rng);
-            (rows, outcomes, near, relays)
+            let counts = registry.take_outcome_counts().into_iter();
+            (rows, counts.map(OutcomesDoc::from).collect::<Vec<_>>())
         };
+        let (near, relays) = self.report_targets(now, has_failure);
         let from = self.shared.start_id;
         while !rows.is_empty() || !outcomes.is_empty() {
             let rows = rows.split_off(rows.len().saturating_sub(MAX_ROWS));
@@ -425,6 +490,27 @@
         }
     }
 
+    /// Sends the queued reports of other data centres to nodes of this one, as many in a datagram as fit.
+    async fn send_relayed(&mut self) {
+        if self.relay_queue.is_empty() {
+            return;
+        }
+        let now = self.shared.now();
+        self.last_relayed = now;
+        let (near, _) = self.report_targets(now, false);
+        let mut batch = Vec::new();
+        let mut size = MAX_REPORT_HEAD;
+        for report in std::mem::take(&mut self.relay_queue) {
+            if size + report.max_size() > MAX_DATAGRAM && !batch.is_empty() {
+                self.send(&Datagram::Relayed(std::mem::take(&mut batch)), &near).await;
+                size = MAX_REPORT_HEAD;
+            }
+            size += report.max_size();
+            batch.push(report);
+        }
+        self.send(&Datagram::Relayed(batch), &near).await;
+    }
+
     /// Sends this node's status to nodes of its own data centre, after new records from the store.
     async fn send_status_nearby(&self) {
         let now = self.shared.now();
--- a/crates/gateway/src/http_api.rs
+++ b/crates/gateway/src/http_api.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     error::{Error, Result},
-    shared::Shared,
+    shared::{Fleet, Shared},
     telemetry,
 };
 use redwingtrestle_core::process::peer_table::NodeState;
@@ -24,7 +24,11 @@
 fn entries(zone: Option<&str>, shared: &State<Arc<Shared>>) -> (Status, RawJson<String>) {
     let own = (shared.node_state() == NodeState::Ready).then_some(shared.settings.entry);
     let zone = zone.unwrap_or(shared.data_centre.as_str());
-    let entries = shared.fleet().peers.entries(shared.now(), zone, own, MAX_ENTRIES);
+    let entries = {
+        let mut fleet = shared.fleet();
+        let Fleet { peers, rng, .. } = &mut *fleet;
+        peers.entries(shared.now(), zone, own, MAX_ENTRIES, rng)
+    };
     if entries.is_empty() {
         log::info!(target: "directory", zone; "no entry is ready, responding to the caller with 503");
         return (Status::ServiceUnavailable, RawJson("{}".into()));
