Do not blame single servers when a whole service refuses work

Cause: while every server of a service refuses 55% of its work, a refusal by a server with free slots counted as evidence against it, and all work moved to the few servers that happened not to refuse. A refusal is evidence now only while the service refuses less than 15% of this node's sends of the last 2 s.

--- a/crates/core/src/process/server_registry.rs
+++ b/crates/core/src/process/server_registry.rs
@@ -59,6 +59,10 @@
 /// Failure probability at which a server is reported as a suspect.
 const SUSPECT_FAILING: f64 = 0.3;
 
+/// Share of refused sends of a service from which a refusal says nothing about a single server. When every server refuses
+/// a part of its work, evidence against those that did would move all work to the few that happened not to.
+const COMMON_REFUSAL_SHARE: f64 = 0.15;
+
 /// Weight of a peer's path failure, which the path between that peer and the server may have caused. Two of them from
 /// different peers count about as much as one local observation.
 const PEER_PATH_WEIGHT: f64 = 0.5;
@@ -75,6 +79,8 @@
     by_tag: HashMap<u32, ServerId>,
     latencies: HashMap<ServiceName, Latency>,
     outcomes: HashMap<ServiceName, ServiceOutcomes>,
+    /// Sends of this node by service, where a refused one counts as unserved.
+    refusals: HashMap<ServiceName, ServiceOutcomes>,
     recent_ranks: HashMap<ServiceName, RecentRanks>,
     /// Servers with use that was not reported to the peers yet.
     unreported: Vec<ServerId>,
@@ -95,6 +101,7 @@
             by_tag: HashMap::new(),
             latencies: HashMap::new(),
             outcomes: HashMap::new(),
+            refusals: HashMap::new(),
             recent_ranks: HashMap::new(),
             unreported: Vec::new(),
             restored: HashMap::new(),
@@ -338,6 +345,10 @@
         sent_at: Timestamp,
     ) {
         let Some(server) = self.servers.get_mut(id) else { return };
+        if matches!(observation, Observation::Success | Observation::Error) {
+            let refusals = self.refusals.entry(server.registration.service.clone()).or_default();
+            refusals.record(now, true);
+        }
         if observation == Observation::Success {
             let latency = self.latencies.entry(server.registration.service.clone()).or_default();
             latency.record(now.since(sent_at));
@@ -355,6 +366,21 @@
         mark_unreported(&mut self.unreported, id);
     }
 
+    /// Records that a server refused a request sent at `sent_at`, and returns whether that is evidence of a failing
+    /// server: it refuses although it has free slots, and the other servers of its service accept their work.
+    pub fn observe_refusal(&mut self, now: Timestamp, id: &ServerId, sent_at: Timestamp) -> bool {
+        let Some(server) = self.servers.get(id) else { return false };
+        let is_full = server.load(self.options.report_age, now) > server.registration.slots;
+        let refusals = self.refusals.entry(server.registration.service.clone()).or_default();
+        refusals.record(now, false);
+        let is_common = refusals.unserved_share(now) >= COMMON_REFUSAL_SHARE;
+        let is_evidence = !is_full && !is_common;
+        if is_evidence {
+            self.observe(now, id, Observation::Slow, sent_at);
+        }
+        is_evidence
+    }
+
     /// Applies the report of the peer with start id `from` on one server.
     pub fn add_peer_report(&mut self, now: Timestamp, from: u64, report: &ServerReport) {
         let Some(id) = self.by_tag.get(&report.tag) else { return };
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -64,34 +64,46 @@
         }
     }
 
-    /// Records a refusal. A server that refuses work while it has free slots is failing, not full.
+    /// Records a refusal, and reports it to the other nodes if it is evidence of a failing server.
     pub fn record_refusal(&mut self) {
-        let is_full = {
-            let fleet = self.shared.fleet();
-            let now = self.shared.now();
-            let registry = &fleet.registry;
-            registry.server(&self.id).is_none_or(|server| {
-                server.load(registry.options().report_age, now) > server.registration().slots
-            })
-        };
-        if !is_full {
-            self.observe(Observation::Slow);
+        let now = self.shared.now();
+        let is_evidence = self.shared.fleet().registry.observe_refusal(now, &self.id, self.sent_at);
+        if is_evidence {
+            self.shared.report_now.notify_one();
         }
     }
 
-    /// Records that the response takes much longer than usual.
+    /// Records that the response takes much longer than usual. Further calls have no effect.
     pub fn record_slow(&mut self) {
-        self.is_slow = true;
-        self.observe(Observation::Slow);
+        if !std::mem::replace(&mut self.is_slow, true) {
+            self.observe(Observation::Slow);
+        }
     }
 
     /// Returns the connection to the pool once it is ready for another request.
     pub fn return_connection(&self, connection: ServerConnection) {
-        let (shared, id) = (self.shared.clone(), self.id.clone());
-        tokio::spawn(async move {
-            let now = shared.now();
-            shared.pool.put_back(id, connection, now).await;
-        });
+        let returns = self.connection_return();
+        tokio::spawn(async move { returns.put_back(connection).await });
+    }
+
+    /// Returns the way back to the pool for the connection of this send.
+    pub fn connection_return(&self) -> ConnectionReturn {
+        ConnectionReturn { shared: self.shared.clone(), id: self.id.clone() }
+    }
+}
+
+/// The way back to the pool for a connection to one server.
+#[derive(Debug)]
+pub struct ConnectionReturn {
+    shared: Arc<Shared>,
+    id: ServerId,
+}
+
+impl ConnectionReturn {
+    /// Puts the connection back into the pool once it is ready for another request.
+    pub async fn put_back(self, connection: ServerConnection) {
+        let now = self.shared.now();
+        self.shared.pool.put_back(self.id, connection, now).await;
     }
 }
 
