Count heads and request bodies in the bytes between data centres

Cause: the estimate of a request's traffic held the response's body only, so a 400 byte response of another data centre looked free, although its exchange takes about 2 KB. Ruled out: status messages, whose share went with the fan-outs.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -54,6 +54,9 @@
 /// The assumed response size of a route without an observed response, in bytes.
 const DEFAULT_RESPONSE_BYTES: f64 = 4_096.0;
 
+/// The bytes of a request and its response beside the body of the response: heads, request body and packet headers.
+const EXCHANGE_OVERHEAD_BYTES: f64 = 1_500.0;
+
 /// The weight of the newest response in the moving average of a route's response size.
 const SIZE_WEIGHT: f64 = 0.1;
 
@@ -314,12 +317,14 @@
         let mut fleet = shared.fleet();
         let nodes = fleet.peers.live_count(now) as u32;
         let Fleet { registry, rng, response_sizes, .. } = &mut *fleet;
+        let response_bytes =
+            response_sizes.get(&self.route.name).copied().unwrap_or(DEFAULT_RESPONSE_BYTES);
         let pick_request = PickRequest {
             service,
             target: self.route.target,
             zone: &shared.data_centre,
             failure_loss,
-            bytes: response_sizes.get(&self.route.name).copied().unwrap_or(DEFAULT_RESPONSE_BYTES),
+            bytes: response_bytes + EXCHANGE_OVERHEAD_BYTES,
             tried,
             max_in_flight: (connections / nodes).max(MIN_IN_FLIGHT_LIMIT),
             max_response_time,
