Bound what a server that sends without end can take

Faults: the deadline of a streamed body was checked only while no bytes were there, so a body without end was passed on past it; a head could take 408 KB; garbage on a reused connection was no evidence against its server; a body that trickles was never slow; the rest of a refusal delayed the resend. Each kind of endless bytes has a case: garbage, a header line, header lines, informational responses, chunks, bytes after a body and before the request, a trickled head, body and refusal.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -19,6 +19,10 @@
 /// The connect timeout. A lost SYN is sent again only after a second, and trying another server is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The read buffer of a connection, in bytes, and so the longest head of a response. It bounds the memory that a server
+/// can take with a head that does not end.
+const MAX_READ_BUFFER: usize = 64 * 1024;
+
 /// The longest idle time of a pooled connection, and its default if the server states no keep-alive time.
 const MAX_IDLE: Span = Span::from_secs(7);
 
@@ -61,8 +65,9 @@
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
         let socket = connecting.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         socket.set_nodelay(true)?;
-        let (sender, driver) =
-            http1::handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
+        let handshake =
+            http1::Builder::new().max_buf_size(MAX_READ_BUFFER).handshake(TokioIo::new(socket));
+        let (sender, driver) = handshake.await.map_err(io::Error::other)?;
         // The sender also returns the error to the request that it affects.
         let task = tokio::spawn(async move {
             if let Err(e) = driver.await {
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -136,6 +136,10 @@
             Content::Whole(bytes) => return Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Content::Streamed(streamed) => streamed,
         };
+        // The deadline comes first: the body of a server that sends without end is always ready.
+        if streamed.deadline.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Some(Err(streamed.fail("the deadline has passed"))));
+        }
         match Pin::new(&mut streamed.body).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
             Poll::Ready(Some(Err(e))) => Poll::Ready(Some(Err(streamed.fail(&e.to_string())))),
@@ -143,10 +147,7 @@
                 streamed.complete();
                 Poll::Ready(None)
             }
-            Poll::Pending => match streamed.deadline.as_mut().poll(context) {
-                Poll::Ready(()) => Poll::Ready(Some(Err(streamed.fail("the deadline has passed")))),
-                Poll::Pending => Poll::Pending,
-            },
+            Poll::Pending => Poll::Pending,
         }
     }
 
--- a/crates/gateway/src/server_send.rs
+++ b/crates/gateway/src/server_send.rs
@@ -18,10 +18,11 @@
     Request, Response, StatusCode,
 };
 use redwingtrestle_core::{
+    ids::ServiceName,
     process::{health_estimate::Observation, picker::Choice},
     time::{Span, Timestamp},
 };
-use std::sync::Arc;
+use std::{future::Future, sync::Arc, time::Duration};
 use strum::{Display, IntoStaticStr};
 
 /// Responses of up to this many bytes are buffered before any byte goes to the caller. If a server breaks off such a
@@ -31,6 +32,9 @@
 /// A response counts as slow after this multiple of the usual time, as numerator and denominator.
 const SLOW_FACTOR: (u64, u64) = (5, 2);
 
+/// The connection of a refusal whose body takes longer than this is closed.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// The quantile of a service's response times that is taken as the usual time.
 const USUAL_QUANTILE: f64 = 0.9;
 
@@ -112,9 +116,12 @@
             let result =
                 send_request(shared, choice, request, body, deadline, connection, &mut in_flight)
                     .await;
-            receive_response(shared, result, in_flight, false, deadline).await
+            receive_response(shared, &request.service, result, in_flight, false, deadline).await
+        }
+        result => {
+            receive_response(shared, &request.service, result, in_flight, was_reused, deadline)
+                .await
         }
-        result => receive_response(shared, result, in_flight, was_reused, deadline).await,
     }
 }
 
@@ -132,7 +139,10 @@
 /// The error of an exchange that ended before the head of a response arrived.
 enum ExchangeError {
     Unsent,
+    /// The connection broke after the request may have been sent.
     Broken(String),
+    /// The server sent bytes that are no response.
+    Malformed(String),
 }
 
 /// Sends the request and waits for the head of the response.
@@ -147,30 +157,46 @@
 ) -> Result<(Response<Incoming>, ServerConnection), ExchangeError> {
     let left_ms = deadline.since(shared.now()).as_millis().max(1);
     let outgoing = build_request(&shared.header_names, choice, request, body, left_ms);
-    let mut response = std::pin::pin!(connection.sender.try_send_request(outgoing));
-    let usual_latency = shared.fleet().registry.latency_quantile(&request.service, USUAL_QUANTILE);
-    let result = match usual_latency {
-        Some(usual_latency) => {
-            let slow_after = usual_latency.times(SLOW_FACTOR.0).as_micros() / SLOW_FACTOR.1;
-            tokio::select! {
-                result = &mut response => result,
-                () = tokio::time::sleep(duration(Span::from_micros(slow_after))) => {
-                    in_flight.record_slow();
-                    response.await
-                }
-            }
-        }
-        None => response.await,
-    };
+    let response = connection.sender.try_send_request(outgoing);
+    let result = watch_for_slowness(shared, &request.service, in_flight, response).await;
     match result {
         Ok(response) => Ok((response, connection)),
         Err(mut e) => match e.take_message() {
             Some(_) => Err(ExchangeError::Unsent),
-            None => Err(ExchangeError::Broken(e.into_error().to_string())),
+            None => {
+                let error = e.into_error();
+                let what = error.to_string();
+                Err(if error.is_parse() {
+                    ExchangeError::Malformed(what)
+                } else {
+                    ExchangeError::Broken(what)
+                })
+            }
         },
     }
 }
 
+/// Waits for a part of a response, and records an observation of the server when the part takes much longer than a
+/// response of the service usually does.
+async fn watch_for_slowness<T>(
+    shared: &Shared,
+    service: &ServiceName,
+    in_flight: &mut InFlightSend,
+    part: impl Future<Output = T>,
+) -> T {
+    let usual_latency = shared.fleet().registry.latency_quantile(service, USUAL_QUANTILE);
+    let Some(usual_latency) = usual_latency else { return part.await };
+    let slow_after = usual_latency.times(SLOW_FACTOR.0).as_micros() / SLOW_FACTOR.1;
+    let mut part = std::pin::pin!(part);
+    tokio::select! {
+        result = &mut part => result,
+        () = tokio::time::sleep(duration(Span::from_micros(slow_after))) => {
+            in_flight.record_slow();
+            part.await
+        }
+    }
+}
+
 fn build_request(
     header_names: &HeaderNames,
     choice: &Choice,
@@ -199,6 +225,7 @@
 /// Classifies the head of a response and reads or streams its body.
 async fn receive_response(
     shared: &Arc<Shared>,
+    service: &ServiceName,
     result: Result<(Response<Incoming>, ServerConnection), ExchangeError>,
     mut in_flight: InFlightSend,
     was_reused: bool,
@@ -217,15 +244,19 @@
             }
             return SendResult::Lost(what);
         }
+        Err(ExchangeError::Malformed(what)) => {
+            in_flight.observe(Observation::Lost);
+            return SendResult::Lost(what);
+        }
     };
     let (head, body) = response.into_parts();
     let header_names = &shared.header_names;
     if head.headers.contains_key(&header_names.not_run) && !head.status.is_success() {
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
-        return handle_refusal(in_flight, is_misdirected, body, connection).await;
+        return handle_refusal(in_flight, is_misdirected, body, connection);
     }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
-        return handle_refusal(in_flight, true, body, connection).await;
+        return handle_refusal(in_flight, true, body, connection);
     }
     let is_own = head
         .headers
@@ -245,7 +276,8 @@
     );
     let closes =
         head.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-    let body = match buffer_body(body).await {
+    let buffered = watch_for_slowness(shared, service, &mut in_flight, buffer_body(body)).await;
+    let body = match buffered {
         Ok(BufferedBody::Whole(bytes)) => {
             if !closes {
                 in_flight.return_connection(connection);
@@ -289,7 +321,8 @@
     }
 }
 
-async fn handle_refusal(
+/// Records a refusal. The request can go to another server at once, so the rest of the response is read in the background.
+fn handle_refusal(
     mut in_flight: InFlightSend,
     is_misdirected: bool,
     body: Incoming,
@@ -300,9 +333,13 @@
         return SendResult::NotRun(NotRunReason::Misdirected);
     }
     in_flight.record_refusal();
-    if let Ok(BufferedBody::Whole(_)) = buffer_body(body).await {
-        in_flight.return_connection(connection);
-    }
+    let returns = in_flight.connection_return();
+    tokio::spawn(async move {
+        let rest = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, buffer_body(body)).await;
+        if let Ok(Ok(BufferedBody::Whole(_))) = rest {
+            returns.put_back(connection).await;
+        }
+    });
     SendResult::NotRun(NotRunReason::Shed)
 }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod endless;
+
 use redwingtrestle_core::{
     process::registration::{Registration, RegistrationState, ServerId},
     time::Span,
