Count sends to reassigned addresses towards the retry budget

Cause: a send that got 421 was taken off the count of sends, and with a count of 0 the next send needed no token, so a request went on to every server that had moved: at 178 nodes each tries each of them. Now only a send that never reached a server leaves the next one free. Test: one request was sent to all 12 moved servers before, now 10 requests make at most 11 sends with no budget beside a tenth. The test fixture chose its five ports one after the other, and a released port came twice (a failed run of requests: the settings were refused since peer and entry were equal); all are held until the last is chosen.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -91,7 +91,10 @@
 struct SendState {
     tried: Vec<ServerId>,
     max_response_time: Option<Span>,
+    /// Sends that count towards the route's limit.
     sends: u32,
+    /// Sends that reached a server or may still do so.
+    arrivals: u32,
     may_have_run: bool,
     was_shed: bool,
     server_error: Option<ServerResponse>,
@@ -147,6 +150,7 @@
                         retry_body = next.buffered_copy();
                         state.tried.push(choice.id.clone());
                         state.sends += 1;
+                        state.arrivals += 1;
                         state.last_choice = Some(choice.clone());
                         running.push(self.send(choice, next).boxed());
                     }
@@ -238,6 +242,9 @@
                 if why == NotRunReason::Unreachable {
                     self.count_unreachable_server(choice);
                 }
+                if matches!(why, NotRunReason::Unreachable | NotRunReason::Unsent) {
+                    state.arrivals -= 1;
+                }
                 // Of the sends that did not run, only a refusal by the server counts towards the route's limit.
                 if why != NotRunReason::Shed {
                     state.sends -= 1;
@@ -260,12 +267,13 @@
             && self.deadline.since(self.shared.now()) > MIN_TIME_LEFT
     }
 
-    /// Returns whether to send to the chosen server. A retry must get a token of the retry budget.
+    /// Returns whether to send to the chosen server. After a send that reached any server, also one that no longer has
+    /// its address, another one must get a token of the retry budget.
     ///
     /// While a whole service is full, a request that one server refused would be refused by the next as well, and the
     /// retry would only use up the budget.
     fn may_send_to(&self, choice: &Choice, state: &SendState) -> bool {
-        if state.sends == 0 {
+        if state.arrivals == 0 {
             return true;
         }
         let is_full = state.was_shed && choice.late_probability > MAX_RETRY_LATE;
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -34,6 +34,9 @@
     sync::Notify,
 };
 
+/// The retries that tests allow, enough not to limit them.
+const DEFAULT_RETRY_FLOOR: u64 = 1_000;
+
 /// The timeout for conditions that should become true at once.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -378,8 +381,10 @@
     pub(crate) entry: SocketAddr,
 }
 
-fn free_addr() -> SocketAddr {
-    StdListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// Returns distinct free addresses. All are held until the last is chosen, as a released port may be handed out again.
+fn free_addrs<const COUNT: usize>() -> [SocketAddr; COUNT] {
+    let listeners = [(); COUNT].map(|()| StdListener::bind("127.0.0.1:0").unwrap());
+    listeners.each_ref().map(|listener| listener.local_addr().unwrap())
 }
 
 fn route(prefix: &str, repeat: RepeatPolicy, timeout_ms: u64) -> HostRoute {
@@ -423,14 +428,14 @@
 
     /// Starts a gateway with this store.
     pub(crate) async fn with_store(store: MemoryStore) -> TestGateway {
-        let entry = free_addr();
+        TestGateway::start(store, DEFAULT_RETRY_FLOOR).await
+    }
+
+    async fn start(store: MemoryStore, retry_floor: u64) -> TestGateway {
+        let [entry, health, directory, peer, metrics] = free_addrs();
         let text = format!(
-            r#"{{"node": "n", "entry": "{entry}", "health": "{}", "directory": "{}", "peer": "{}",
-                "metrics": "{}", "data_centre": "a", "store": "127.0.0.1:9", "retry_floor": 1000, "stop_ms": 2000}}"#,
-            free_addr(),
-            free_addr(),
-            free_addr(),
-            free_addr()
+            r#"{{"node": "n", "entry": "{entry}", "health": "{health}", "directory": "{directory}", "peer": "{peer}",
+                "metrics": "{metrics}", "data_centre": "a", "store": "127.0.0.1:9", "retry_floor": {retry_floor}, "stop_ms": 2000}}"#
         );
         let settings = Settings::parse(&text).expect("settings");
         let shared = Arc::new(Shared::new(settings, HeaderNames::default()));
@@ -444,7 +449,12 @@
 
     /// Starts a gateway, and waits until it knows the configuration and these servers.
     pub(crate) async fn with_servers(backends: &[&Backend]) -> TestGateway {
-        let gateway = TestGateway::with_empty_store().await;
+        TestGateway::with_retry_floor(DEFAULT_RETRY_FLOOR, backends).await
+    }
+
+    /// Like [`with_servers`](Self::with_servers), with this many retries that are always allowed.
+    pub(crate) async fn with_retry_floor(retry_floor: u64, backends: &[&Backend]) -> TestGateway {
+        let gateway = TestGateway::start(MemoryStore::default(), retry_floor).await;
         gateway
             .store
             .append(Stream::Configuration, Record::RoutingConfig(Box::new(routing_config(1))));
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -354,6 +354,23 @@
     );
 }
 
+/// Guards against sends without limit when the addresses of many servers belong to others, as after a restart of all
+/// nodes with old registrations: each such send counts towards the retry budget.
+#[tokio::test]
+async fn sends_to_reassigned_addresses_count_towards_the_budget() {
+    let mut moved = Vec::new();
+    for i in 0..12 {
+        moved.push(Backend::start(&format!("i-{i}"), Behaviour::Misdirected).await);
+    }
+    let gateway = TestGateway::with_retry_floor(0, &moved.iter().collect::<Vec<_>>()).await;
+    for i in 0..10 {
+        let reply = gateway.call(&post(&format!("r{i}"))).await;
+        assert_eq!(reply.status, 503);
+    }
+    let arrivals: usize = moved.iter().map(|server| server.received().len()).sum();
+    assert!(arrivals <= 11, "{arrivals} sends of 10 requests, a tenth of which may be sent again");
+}
+
 /// Guards against a request that gets no response, or waits too long, because its service has no server.
 #[tokio::test]
 async fn request_is_refused_at_once_without_servers() {
