--- /dev/null
+++ b/crates/gateway/src/datagram.rs
@@ -0,0 +1,143 @@
+//! The datagrams between nodes, encoded with postcard, and their limits of size.
+
+use redwingtrestle_core::process::{
+    peer_table::NodeState,
+    service_outcomes::OutcomeCounts,
+    tracked_server::{Counts, ServerReport},
+};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The largest datagram, in bytes. It fits into one packet on common networks.
+pub(crate) const MAX_DATAGRAM: usize = 1_200;
+
+/// The largest number of rows in a report, or of addresses in a list, that fits a datagram.
+pub(crate) const MAX_ROWS: usize = 60;
+
+/// The largest number of services whose outcome counts fit beside the rows of a report.
+pub(crate) const MAX_OUTCOMES: usize = 20;
+
+/// The largest encoded sizes of a report's head, of one of its rows and of the outcome counts of a service, in bytes.
+pub(crate) const MAX_REPORT_HEAD: usize = 16;
+const MAX_ROW_SIZE: usize = 13;
+const MAX_OUTCOMES_SIZE: usize = 15;
+
+/// The encoding of [`NodeState`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) enum NodeStateDoc {
+    Starting,
+    Ready,
+    Stopping,
+}
+
+/// A message between nodes, encoded with postcard: the order of variants and fields is the format.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum Datagram {
+    /// The sender's own state.
+    Status {
+        start: u64,
+        entry: SocketAddr,
+        data_centre: String,
+        state: NodeStateDoc,
+        config_version: u64,
+        registry_position: u64,
+        store_reachable: bool,
+    },
+    /// Peer addresses of nodes that the sender knows.
+    Nodes(Vec<SocketAddr>),
+    /// Observations of the node `from`. If `relay` is set, the receiver relays the report in its own data centre.
+    Report { from: u64, relay: bool, rows: Vec<RowDoc>, outcomes: Vec<OutcomesDoc> },
+    /// Periodic reports of nodes in other data centres, which the sender relays together.
+    Relayed(Vec<ReportDoc>),
+}
+
+/// The observations of one node.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct ReportDoc {
+    /// The start id of the node.
+    pub(crate) from: u64,
+    /// Its observations of servers.
+    pub(crate) rows: Vec<RowDoc>,
+    /// Its outcome counts of services.
+    pub(crate) outcomes: Vec<OutcomesDoc>,
+}
+
+impl ReportDoc {
+    /// Returns an upper bound of the encoded size, in bytes.
+    pub(crate) fn max_size(&self) -> usize {
+        MAX_REPORT_HEAD + self.rows.len() * MAX_ROW_SIZE + self.outcomes.len() * MAX_OUTCOMES_SIZE
+    }
+
+    /// Returns whether the report contains a failed request or connection attempt.
+    pub(crate) fn has_failure(&self) -> bool {
+        self.rows.iter().any(|row| row.errors > 0 || row.lost > 0 || row.slow > 0)
+    }
+}
+
+/// The encoding of the outcome counts of one service.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct OutcomesDoc {
+    tag: u32,
+    served: u32,
+    unserved: u32,
+}
+
+impl From<(u32, OutcomeCounts)> for OutcomesDoc {
+    fn from((tag, OutcomeCounts { served, unserved }): (u32, OutcomeCounts)) -> Self {
+        OutcomesDoc { tag, served, unserved }
+    }
+}
+
+impl From<OutcomesDoc> for (u32, OutcomeCounts) {
+    fn from(OutcomesDoc { tag, served, unserved }: OutcomesDoc) -> Self {
+        (tag, OutcomeCounts { served, unserved })
+    }
+}
+
+/// The encoding of a [`ServerReport`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct RowDoc {
+    tag: u32,
+    good: u8,
+    errors: u8,
+    lost: u8,
+    slow: u8,
+    sent: u8,
+    in_flight: u16,
+}
+
+impl From<ServerReport> for RowDoc {
+    fn from(report: ServerReport) -> Self {
+        let Counts { good, errors, lost, slow, sent } = report.counts;
+        let in_flight = report.in_flight.min(u32::from(u16::MAX)) as u16;
+        RowDoc { tag: report.tag, good, errors, lost, slow, sent, in_flight }
+    }
+}
+
+impl From<RowDoc> for ServerReport {
+    fn from(row: RowDoc) -> Self {
+        let RowDoc { tag, good, errors, lost, slow, sent, in_flight } = row;
+        let counts = Counts { good, errors, lost, slow, sent };
+        ServerReport { tag, counts, in_flight: in_flight.into() }
+    }
+}
+
+impl From<NodeState> for NodeStateDoc {
+    fn from(state: NodeState) -> Self {
+        match state {
+            NodeState::Starting => NodeStateDoc::Starting,
+            NodeState::Ready => NodeStateDoc::Ready,
+            NodeState::Stopping => NodeStateDoc::Stopping,
+        }
+    }
+}
+
+impl From<NodeStateDoc> for NodeState {
+    fn from(state: NodeStateDoc) -> Self {
+        match state {
+            NodeStateDoc::Starting => NodeState::Starting,
+            NodeStateDoc::Ready => NodeState::Ready,
+            NodeStateDoc::Stopping => NodeState::Stopping,
+        }
+    }
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -2,19 +2,20 @@
 
 use crate::{
     clock::duration,
+    datagram::{
+        Datagram, OutcomesDoc, ReportDoc, RowDoc, MAX_DATAGRAM, MAX_OUTCOMES, MAX_REPORT_HEAD,
+        MAX_ROWS,
+    },
     peer_rpc,
     shared::{Fleet, Shared},
 };
 use redwingtrestle_core::{
     ids::DataCentre,
     process::{
-        peer_table::{NodeState, NodeStatus},
-        service_outcomes::OutcomeCounts,
-        tracked_server::{Counts, ServerReport},
+        peer_table::NodeStatus, service_outcomes::OutcomeCounts, tracked_server::ServerReport,
     },
     time::{Span, Timestamp},
 };
-use serde::{Deserialize, Serialize};
 use std::{
     net::SocketAddr,
     sync::{
@@ -24,20 +25,6 @@
 };
 use tokio::net::UdpSocket;
 
-/// The largest datagram, in bytes. It fits into one packet on common networks.
-const MAX_DATAGRAM: usize = 1_200;
-
-/// The largest number of rows in a report, or of addresses in a list, that fits a datagram.
-const MAX_ROWS: usize = 60;
-
-/// The largest number of services whose outcome counts fit beside the rows of a report.
-const MAX_OUTCOMES: usize = 20;
-
-/// The largest encoded sizes of a report's head, of one of its rows and of the outcome counts of a service, in bytes.
-const MAX_REPORT_HEAD: usize = 16;
-const MAX_ROW_SIZE: usize = 13;
-const MAX_OUTCOMES_SIZE: usize = 15;
-
 /// The largest number of reports of other data centres that wait to be relayed. Further ones are dropped, as the next
 /// report of the same node replaces most of what they say.
 const MAX_QUEUED_RELAYS: usize = 256;
@@ -66,123 +53,6 @@
 /// After a suspension of the machine for longer than this, all state is read again.
 const MAX_SUSPENSION: Span = Span::from_millis(500);
 
-/// The encoding of [`NodeState`].
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-enum NodeStateDoc {
-    Starting,
-    Ready,
-    Stopping,
-}
-
-/// A message between nodes, encoded with postcard: the order of variants and fields is the format.
-#[derive(Debug, Serialize, Deserialize)]
-enum Datagram {
-    /// The sender's own state.
-    Status {
-        start: u64,
-        entry: SocketAddr,
-        data_centre: String,
-        state: NodeStateDoc,
-        config_version: u64,
-        registry_position: u64,
-        store_reachable: bool,
-    },
-    /// Peer addresses of nodes that the sender knows.
-    Nodes(Vec<SocketAddr>),
-    /// Observations of the node `from`. If `relay` is set, the receiver relays the report in its own data centre.
-    Report { from: u64, relay: bool, rows: Vec<RowDoc>, outcomes: Vec<OutcomesDoc> },
-    /// Periodic reports of nodes in other data centres, which the sender relays together.
-    Relayed(Vec<ReportDoc>),
-}
-
-/// The observations of one node.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct ReportDoc {
-    from: u64,
-    rows: Vec<RowDoc>,
-    outcomes: Vec<OutcomesDoc>,
-}
-
-impl ReportDoc {
-    /// Returns an upper bound of the encoded size, in bytes.
-    fn max_size(&self) -> usize {
-        MAX_REPORT_HEAD + self.rows.len() * MAX_ROW_SIZE + self.outcomes.len() * MAX_OUTCOMES_SIZE
-    }
-
-    /// Returns whether the report contains a failed request or connection attempt.
-    fn has_failure(&self) -> bool {
-        self.rows.iter().any(|row| row.errors > 0 || row.lost > 0 || row.slow > 0)
-    }
-}
-
-/// The encoding of the outcome counts of one service.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct OutcomesDoc {
-    tag: u32,
-    served: u32,
-    unserved: u32,
-}
-
-impl From<(u32, OutcomeCounts)> for OutcomesDoc {
-    fn from((tag, OutcomeCounts { served, unserved }): (u32, OutcomeCounts)) -> Self {
-        OutcomesDoc { tag, served, unserved }
-    }
-}
-
-impl From<OutcomesDoc> for (u32, OutcomeCounts) {
-    fn from(OutcomesDoc { tag, served, unserved }: OutcomesDoc) -> Self {
-        (tag, OutcomeCounts { served, unserved })
-    }
-}
-
-/// The encoding of a [`ServerReport`].
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct RowDoc {
-    tag: u32,
-    good: u8,
-    errors: u8,
-    lost: u8,
-    slow: u8,
-    sent: u8,
-    in_flight: u16,
-}
-
-impl From<ServerReport> for RowDoc {
-    fn from(report: ServerReport) -> Self {
-        let Counts { good, errors, lost, slow, sent } = report.counts;
-        let in_flight = report.in_flight.min(u32::from(u16::MAX)) as u16;
-        RowDoc { tag: report.tag, good, errors, lost, slow, sent, in_flight }
-    }
-}
-
-impl From<RowDoc> for ServerReport {
-    fn from(row: RowDoc) -> Self {
-        let RowDoc { tag, good, errors, lost, slow, sent, in_flight } = row;
-        let counts = Counts { good, errors, lost, slow, sent };
-        ServerReport { tag, counts, in_flight: in_flight.into() }
-    }
-}
-
-impl From<NodeState> for NodeStateDoc {
-    fn from(state: NodeState) -> Self {
-        match state {
-            NodeState::Starting => NodeStateDoc::Starting,
-            NodeState::Ready => NodeStateDoc::Ready,
-            NodeState::Stopping => NodeStateDoc::Stopping,
-        }
-    }
-}
-
-impl From<NodeStateDoc> for NodeState {
-    fn from(state: NodeStateDoc) -> Self {
-        match state {
-            NodeStateDoc::Starting => NodeState::Starting,
-            NodeStateDoc::Ready => NodeState::Ready,
-            NodeStateDoc::Stopping => NodeState::Stopping,
-        }
-    }
-}
-
 /// The task that sends and receives the datagrams.
 #[derive(Debug)]
 pub struct Gossip {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod accept;
 pub mod clock;
 pub mod connection_state;
+mod datagram;
 pub mod error;
 pub mod forwarding;
 pub mod gateway;
