--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -303,9 +303,10 @@
                 return None;
             }
             has_paused = true;
+            let next_try = tokio::time::Instant::now() + duration(PICK_RETRY_PAUSE);
             tokio::select! {
                 () = changed => {}
-                () = tokio::time::sleep(duration(PICK_RETRY_PAUSE.min(max_wait))) => {}
+                () = tokio::time::sleep_until(next_try.min(until)) => {}
             }
         }
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -65,7 +65,7 @@
     is_fetching: Arc<AtomicBool>,
     suspended: Span,
     live_nodes: usize,
-    /// Periodic reports of other data centres that are relayed with this node's next report.
+    /// Periodic reports of other data centres that wait to be relayed together.
     relay_queue: Vec<ReportDoc>,
 }
 
@@ -190,11 +190,14 @@
         }
     }
 
-    /// Relays a report of another data centre: failures at once, all else with this node's next report.
+    /// Relays a report of another data centre: failures at once, all else together each [`REPORT_INTERVAL`].
     async fn relay(&mut self, now: Timestamp, report: ReportDoc) {
         if !report.has_failure() {
             if self.relay_queue.len() < MAX_QUEUED_RELAYS {
                 self.relay_queue.push(report);
+            } else {
+                metrics::counter!("redwing_dropped_messages_total", "reason" => "relay_queue")
+                    .increment(1);
             }
             return;
         }
