Log callers' connections that end before their reply is written

The log of a planned stop could not tell a process that ends too early from a connection that the change of phase closes, or from a losing send's response: it said open 0 in all three, and the end of a connection was logged at debug.

A connection now has a state for a reply that the HTTP library has taken and the socket has not, each lost reply has a line with its attempt, stage and phase, and the end of a planned stop counts the connections that are left. The time limit of an idle connection starts when the reply is written.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -9,7 +9,7 @@
     error::{Error, Result},
     reply::{self, ReplyBody},
     request,
-    shared::{wait_for_closing, Shared},
+    shared::{wait_for_closing, OpenConnectionGuard, Shared},
 };
 use hyper::{
     body::Incoming,
@@ -104,7 +104,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(context)
+        // The HTTP library flushes the socket only after it has written all that it had.
+        let result = Pin::new(&mut self.socket).poll_flush(context);
+        if matches!(result, Poll::Ready(Ok(()))) {
+            self.connection_state.record_flush();
+        }
+        result
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -142,7 +147,8 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((socket, _)) => {
-                    tokio::spawn(handle_connection(shared.clone(), socket));
+                    let open = shared.track_connection();
+                    tokio::spawn(handle_connection(shared.clone(), socket, open));
                 }
                 Err(e) => {
                     log::warn!(target: "entry",
@@ -178,7 +184,7 @@
     response
 }
 
-async fn handle_connection(shared: Arc<Shared>, socket: TcpStream) {
+async fn handle_connection(shared: Arc<Shared>, socket: TcpStream, _open: OpenConnectionGuard) {
     // Nagle's algorithm would delay small responses until earlier segments are acknowledged.
     if let Err(e) = socket.set_nodelay(true) {
         log::debug!(target: "entry",
@@ -210,9 +216,7 @@
     loop {
         tokio::select! {
             result = connection.as_mut() => {
-                if let Err(e) = result {
-                    log::debug!(target: "entry", "a caller's connection ended with an error: {e}");
-                }
+                connection_state.log_end(result.err().as_ref());
                 return;
             }
             () = tokio::time::sleep(duration(wait)), if !is_closing => {
--- a/crates/gateway/src/connection_state.rs
+++ b/crates/gateway/src/connection_state.rs
@@ -4,13 +4,15 @@
 use redwingtrestle_core::time::{Span, Timestamp};
 use std::sync::{
     atomic::{AtomicU64, AtomicU8, Ordering},
-    Arc,
+    Arc, Mutex, PoisonError,
 };
 
-/// The values of [`ConnectionState::activity`]: between requests, reading a request head, serving a request.
+/// The values of [`ConnectionState::activity`]: between requests, reading a request head, serving a request, writing
+/// the rest of a reply whose body the HTTP library has taken.
 pub(crate) const IDLE: u8 = 0;
 pub(crate) const READING_HEAD: u8 = 1;
 pub(crate) const SERVING: u8 = 2;
+pub(crate) const WRITING: u8 = 3;
 
 /// The values of [`ConnectionState::framing`], for the current request's body: not inspected yet, unambiguous,
 /// ambiguous.
@@ -24,6 +26,8 @@
     pub(crate) activity: AtomicU8,
     pub(crate) framing: AtomicU8,
     since: AtomicU64,
+    /// The id of the attempt that was served last.
+    attempt: Mutex<Arc<str>>,
     shared: Arc<Shared>,
 }
 
@@ -34,6 +38,7 @@
             activity: AtomicU8::new(IDLE),
             framing: AtomicU8::new(FRAMING_UNSEEN),
             since: AtomicU64::new(shared.now().as_micros()),
+            attempt: Mutex::new(Arc::from("")),
             shared,
         }
     }
@@ -44,6 +49,34 @@
         self.activity.store(activity, Ordering::SeqCst);
     }
 
+    /// Records that the socket has taken all bytes that the HTTP library had for it.
+    pub(crate) fn record_flush(&self) {
+        if self.activity.load(Ordering::SeqCst) == WRITING {
+            self.set_activity(IDLE);
+        }
+    }
+
+    /// Logs the end of the connection if a reply is lost by it, or if it ended with an error.
+    pub(crate) fn log_end(&self, error: Option<&hyper::Error>) {
+        let cause = error.map_or_else(|| "it was closed".to_string(), ToString::to_string);
+        let stage = match self.activity.load(Ordering::SeqCst) {
+            SERVING => "serving",
+            WRITING => "writing",
+            _ => {
+                if error.is_some() {
+                    log::debug!(target: "entry", "a caller's connection ended with an error: {cause}");
+                }
+                return;
+            }
+        };
+        let attempt = self.attempt.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let phase = *self.shared.phase.borrow();
+        let since = Timestamp::from_micros(self.since.load(Ordering::SeqCst));
+        log::info!(target: "entry", attempt = &*attempt, stage, phase:? = phase,
+            ms = self.shared.now().since(since).as_millis();
+            "a caller's connection ended before its reply was written: {cause}");
+    }
+
     /// Checks the time limits `head` (on reading a head) and `idle` (between requests).
     pub(crate) fn check(&self, head: Span, idle: Span) -> LimitCheck {
         let now = self.shared.now();
@@ -70,7 +103,7 @@
     SlowHead,
 }
 
-/// A guard that marks a connection as serving a request until the reply has been written.
+/// A guard that marks a connection as serving a request until the HTTP library has taken the whole reply.
 #[derive(Debug)]
 pub struct BusyGuard(Arc<ConnectionState>);
 
@@ -79,10 +112,15 @@
         connection_state.set_activity(SERVING);
         BusyGuard(connection_state)
     }
+
+    /// Sets the id of the caller's attempt for the log.
+    pub(crate) fn set_attempt(&self, attempt: &Arc<str>) {
+        *self.0.attempt.lock().unwrap_or_else(PoisonError::into_inner) = attempt.clone();
+    }
 }
 
 impl Drop for BusyGuard {
     fn drop(&mut self) {
-        self.0.set_activity(IDLE);
+        self.0.set_activity(WRITING);
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -43,6 +43,7 @@
         .and_then(|id| id.to_str().ok())
         .unwrap_or_default()
         .into();
+    busy.set_attempt(&attempt);
     let is_head = request.method() == Method::HEAD;
     let result = match prepare(&shared, request, started_at, &attempt).await {
         Ok((routed, body)) => forward_or_detach(&shared, routed, body).await,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -94,6 +94,7 @@
     /// The time until which this node watches the store itself, because it does not get new state from others.
     pub watch_until: Mutex<Option<Timestamp>>,
     open_requests: AtomicUsize,
+    open_connections: AtomicUsize,
     fleet: Mutex<Fleet>,
 }
 
@@ -137,6 +138,7 @@
             store_updates: Notify::new(),
             watch_until: Mutex::new(None),
             open_requests: AtomicUsize::new(0),
+            open_connections: AtomicUsize::new(0),
             fleet: Mutex::new(fleet),
             settings,
         }
@@ -276,6 +278,17 @@
     pub fn open_count(&self) -> usize {
         self.open_requests.load(Ordering::SeqCst)
     }
+
+    /// Counts a caller's connection as open until the guard is dropped.
+    pub fn track_connection(self: &Arc<Self>) -> OpenConnectionGuard {
+        self.open_connections.fetch_add(1, Ordering::SeqCst);
+        OpenConnectionGuard(self.clone())
+    }
+
+    /// Returns the number of callers' connections that are open.
+    pub fn connection_count(&self) -> usize {
+        self.open_connections.load(Ordering::SeqCst)
+    }
 }
 
 /// The number of nodes that a node without a live peer assumes.
@@ -294,3 +307,13 @@
         self.0.open_requests.fetch_sub(1, Ordering::SeqCst);
     }
 }
+
+/// Counts a caller's connection as open until dropped.
+#[derive(Debug)]
+pub struct OpenConnectionGuard(Arc<Shared>);
+
+impl Drop for OpenConnectionGuard {
+    fn drop(&mut self) {
+        self.0.open_connections.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -53,6 +53,7 @@
         tokio::time::sleep(duration(CHECK_INTERVAL)).await;
     }
     tokio::time::sleep(duration(FLUSH_TIME)).await;
-    log::info!(target: "process", node = settings.node.as_str(), open = shared.open_count();
+    log::info!(target: "process", node = settings.node.as_str(), open = shared.open_count(),
+        connections = shared.connection_count();
         "planned stop ends");
 }
