Reproduce the cut reply of a planned stop in a test that fails

A gateway in a runtime of its own sends 600,000 bytes to a caller that takes 1.6 MB/s through buffers of 16 KiB, and the runtime ends when the planned stop returns.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -30,7 +30,7 @@
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::Notify,
 };
 
@@ -147,8 +147,13 @@
     NeverRespond,
     /// Begins a response of two megabytes, and breaks it off.
     TruncateLongBody,
+    /// Responds after this many milliseconds with a body of [`LARGE_BODY`] bytes.
+    LargeBody(u64),
 }
 
+/// The size of the body of [`Behaviour::LargeBody`], in bytes. A gateway buffers all of it.
+pub(crate) const LARGE_BODY: usize = 600_000;
+
 /// `ReceivedRequest` is a request as a backend server received it.
 #[derive(Clone, Debug)]
 pub(crate) struct ReceivedRequest {
@@ -261,6 +266,10 @@
                 "HTTP/1.1 503 X\r\nredwing-shed: 1\r\ncontent-length: 0\r\n\r\n".into()
             }
             Behaviour::Misdirected => "HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n".into(),
+            Behaviour::LargeBody(ms) => {
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+                ok(&id, &"x".repeat(LARGE_BODY))
+            }
             Behaviour::CloseWithoutResponse => return,
             Behaviour::TruncateBody => {
                 let whole = ok(&id, "a body that breaks off");
@@ -361,6 +370,41 @@
     }
 }
 
+/// The bytes that a caller on a slow link takes at once, and its pause after them.
+const SLOW_LINK_STEP: (usize, Duration) = (16 * 1024, Duration::from_millis(10));
+
+impl Caller {
+    /// Connects with buffers so small that the gateway cannot hand a large reply to the socket at once.
+    pub(crate) async fn connect_slow(addr: SocketAddr) -> Caller {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(SLOW_LINK_STEP.0 as u32).unwrap();
+        Caller { socket: socket.connect(addr).await.unwrap() }
+    }
+
+    /// Reads slowly to the end of the connection, and returns the number of bytes.
+    pub(crate) async fn read_slowly(&mut self) -> usize {
+        let mut buffer = vec![0; SLOW_LINK_STEP.0];
+        let mut total = 0;
+        while let Ok(count) = self.socket.read(&mut buffer).await {
+            if count == 0 {
+                break;
+            }
+            total += count;
+            tokio::time::sleep(SLOW_LINK_STEP.1).await;
+        }
+        total
+    }
+}
+
+/// Binds the entry with small send buffers.
+fn bind_with_small_buffers(addr: SocketAddr) -> TcpListener {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    socket.set_send_buffer_size(SLOW_LINK_STEP.0 as u32).unwrap();
+    socket.bind(addr).unwrap();
+    socket.listen(64).unwrap()
+}
+
 /// Returns a request without a body.
 pub(crate) fn get(path: &str, attempt: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nHost: a.example\r\nRedwing-Request-Id: {attempt}\r\nRedwing-Deadline-Ms: 3000\r\n\r\n")
@@ -432,6 +476,14 @@
     }
 
     async fn start(store: MemoryStore, retry_floor: u64) -> TestGateway {
+        TestGateway::start_with(store, retry_floor, |shared| accept::bind(shared).unwrap()).await
+    }
+
+    async fn start_with(
+        store: MemoryStore,
+        retry_floor: u64,
+        bind: fn(&Shared) -> TcpListener,
+    ) -> TestGateway {
         let [entry, health, directory, peer, metrics] = free_addrs();
         let text = format!(
             r#"{{"node": "n", "entry": "{entry}", "health": "{health}", "directory": "{directory}", "peer": "{peer}",
@@ -439,7 +491,7 @@
         );
         let settings = Settings::parse(&text).expect("settings");
         let shared = Arc::new(Shared::new(settings, HeaderNames::default()));
-        let listener = accept::bind(&shared).unwrap();
+        let listener = bind(&shared);
         tokio::spawn(accept::serve(shared.clone(), listener));
         for stream in [Stream::Configuration, Stream::Servers] {
             tokio::spawn(store_watch::watch_stream(shared.clone(), store.clone(), stream));
@@ -455,6 +507,22 @@
     /// Like [`with_servers`](Self::with_servers), with this many retries that are always allowed.
     pub(crate) async fn with_retry_floor(retry_floor: u64, backends: &[&Backend]) -> TestGateway {
         let gateway = TestGateway::start(MemoryStore::default(), retry_floor).await;
+        gateway.register(backends).await;
+        gateway
+    }
+
+    /// Like [`with_servers`](Self::with_servers), with small send buffers at the entry.
+    pub(crate) async fn with_slow_link(backend: &Backend) -> TestGateway {
+        let bind = |shared: &Shared| bind_with_small_buffers(shared.settings.entry);
+        let store = MemoryStore::default();
+        let gateway = TestGateway::start_with(store, DEFAULT_RETRY_FLOOR, bind).await;
+        gateway.register(&[backend]).await;
+        gateway
+    }
+
+    /// Publishes a configuration and these servers, and waits until the gateway knows them.
+    async fn register(&self, backends: &[&Backend]) {
+        let gateway = self;
         gateway
             .store
             .append(Stream::Configuration, Record::RoutingConfig(Box::new(routing_config(1))));
@@ -472,7 +540,6 @@
                 gateway.shared.routing_config.load().is_some()
             })
             .await;
-        gateway
     }
 
     pub(crate) async fn wait_until(&self, what: &str, check: impl Fn() -> bool) {
--- a/crates/gateway/tests/stopping.rs
+++ b/crates/gateway/tests/stopping.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use common::{get, header, post, Backend, Behaviour, Caller, TestGateway};
+use common::{get, header, post, Backend, Behaviour, Caller, TestGateway, LARGE_BODY};
 use redwingtrestle_core::{cases, process::peer_table::NodeState, time::Span};
 use redwingtrestle_gateway::stop::{self, StopPlan};
-use std::time::Duration;
-use tokio::net::TcpStream;
+use std::{sync::Arc, time::Duration};
+use tokio::{net::TcpStream, runtime::Runtime};
 
 fn plan_times((whole, ttl): (u64, u64)) -> (u64, u64) {
     let plan = StopPlan::new(Span::from_millis(whole), Span::from_millis(ttl));
@@ -60,3 +60,23 @@
     assert!(begun.elapsed() < Duration::from_millis(1_500), "{:?}", begun.elapsed());
     assert!(idle.reply().await.is_none());
 }
+
+/// Guards against a process that ends while the rest of a reply waits for a caller's slow link.
+#[tokio::test]
+async fn planned_stop_does_not_cut_reply_on_slow_link() {
+    for delay in [450, 900] {
+        let server = Arc::new(Backend::start("i-1", Behaviour::LargeBody(delay)).await);
+        let (process, known) = (Runtime::new().expect("a runtime"), server.clone());
+        let gateway = process.spawn(async move { TestGateway::with_slow_link(&known).await });
+        let gateway = gateway.await.expect("a gateway");
+        let mut caller = Caller::connect_slow(gateway.entry).await;
+        caller.send(&get("/free/1", "r1")).await;
+        gateway.wait_until("the server has the request", || server.received().len() == 1).await;
+        let reading = tokio::spawn(async move { caller.read_slowly().await });
+        let shared = gateway.shared.clone();
+        process.spawn(async move { stop::stop(&shared).await }).await.expect("no panic");
+        process.shutdown_background();
+        let received = reading.await.expect("no panic");
+        assert!(received > LARGE_BODY, "{delay} ms: the reply was cut after {received} bytes");
+    }
+}
