Wait for callers' connections to close before a planned stop ends the process

Cause: the stop waited for the count of open requests and then 100 ms. The count falls when the HTTP library takes the end of a reply; a caller's link that needs longer than 100 ms for the rest lost it with the process. Class of fault: the end of work is taken from the hand-over to a buffer and not from the buffer's end.

Change: each accepted connection is counted until it is closed, and the stop ends when no request and no connection is open, or when its time is up. The fixed wait is gone. A connection that is reading a head keeps its time limit while it closes, so it cannot hold a stop for longer than that.

Ruled out: the losing send's response (the test has a single server), and the change of phase (the case of 450 ms begins its reply before the phase changes and is cut only when the process ends). The product's own entry waits for its last connection already (docs/stopping.md).

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -219,7 +219,7 @@
                 connection_state.log_end(result.err().as_ref());
                 return;
             }
-            () = tokio::time::sleep(duration(wait)), if !is_closing => {
+            () = tokio::time::sleep(duration(wait)) => {
                 let limits = limits();
                 match connection_state.check(limits.head_time, limits.idle_time) {
                     LimitCheck::Later(again) => wait = again.min(limits.head_time.times(2)),
@@ -230,6 +230,7 @@
                     }
                     LimitCheck::Idle => {
                         is_closing = true;
+                        wait = limits.head_time;
                         connection.as_mut().graceful_shutdown();
                     }
                 }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -1,4 +1,5 @@
-//! The planned stop: directs callers to other entries, responds to every request that was read, then ends the process.
+//! The planned stop: directs callers to other entries, responds to every request that was read, and waits until the
+//! replies are written. The reasons are in `docs/stopping.md`.
 
 use crate::{
     clock::duration,
@@ -14,12 +15,9 @@
 /// The time reserved at the end of a stop for closing connections and writing logs.
 const RESERVE: Span = Span::from_millis(250);
 
-/// How often a stop checks whether requests are still open.
+/// How often a stop checks whether requests or connections are still open.
 const CHECK_INTERVAL: Span = Span::from_millis(20);
 
-/// The time for the last replies to be written to their connections.
-const FLUSH_TIME: Span = Span::from_millis(100);
-
 /// Divides the time that a planned stop may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopPlan {
@@ -37,7 +35,9 @@
     }
 }
 
-/// Runs the planned stop, and returns when all open requests have a response or the time is up.
+/// Runs the planned stop, and returns when all requests have ended and all connections of callers are closed, or the time
+/// is up. The number of open requests alone is not enough: it falls when the HTTP library takes the end of a reply, which
+/// a caller on a slow link gets later.
 pub async fn stop(shared: &Arc<Shared>) {
     let settings = &shared.settings;
     let ttl = Span::from_secs(settings.entries_ttl_s);
@@ -49,10 +49,10 @@
     tokio::time::sleep(duration(plan.leaving)).await;
     shared.phase.send_replace(Phase::Closing);
     let until = tokio::time::Instant::now() + duration(plan.closing);
-    while shared.open_count() > 0 && tokio::time::Instant::now() < until {
+    let is_busy = || shared.open_count() > 0 || shared.connection_count() > 0;
+    while is_busy() && tokio::time::Instant::now() < until {
         tokio::time::sleep(duration(CHECK_INTERVAL)).await;
     }
-    tokio::time::sleep(duration(FLUSH_TIME)).await;
     log::info!(target: "process", node = settings.node.as_str(), open = shared.open_count(),
         connections = shared.connection_count();
         "planned stop ends");
