Refuse requests that a planned stop would cut off at the server

Another operator saw: in a planned stop, requests that came late in the grace were taken, passed on, and cut at its end, orders among them (LOST).

It happens here: a request whose head or body is completed after the time of serving was sent to a server whatever time was left, and so was a second send after a refusal.

The plan of a stop moves to core and decides what may begin: a request that is read after the time of serving is refused as not run, and no send begins that is expected to end after the stop, by the 99th percentile of the service's response times, or the route's target while none is known. New connections and new requests on kept connections were ruled out: the first are not accepted, the second close with the reply.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -29,6 +29,10 @@
 /// A request with no more than this time left is not sent, as no server could respond in time.
 const MIN_TIME_LEFT: Span = Span::from_millis(20);
 
+/// During a planned stop, no send begins that ends after the stop if it takes as long as this share of the service's
+/// responses.
+const STOP_QUANTILE: f64 = 0.99;
+
 /// A hedged send starts after the time within which this share of a service's responses arrives.
 const HEDGE_QUANTILE: f64 = 0.9;
 
@@ -287,7 +291,7 @@
         let mut has_paused = false;
         loop {
             let changed = self.shared.changed.notified();
-            if self.deadline.since(self.shared.now()) <= MIN_TIME_LEFT {
+            if self.deadline.since(self.shared.now()) <= MIN_TIME_LEFT || !self.ends_before_stop() {
                 return None;
             }
             let is_last = self.outgoing.at_most_once || state.sends + 1 >= self.route.attempts;
@@ -311,6 +315,14 @@
         }
     }
 
+    /// Returns whether a send that begins now is expected to end before a planned stop does.
+    fn ends_before_stop(&self) -> bool {
+        let Some(stop) = self.shared.planned_stop() else { return true };
+        let service = &self.outgoing.service;
+        let latency = self.shared.fleet().registry.latency_quantile(service, STOP_QUANTILE);
+        stop.may_send(self.shared.now(), latency.unwrap_or(self.route.target))
+    }
+
     fn pick(
         &self,
         tried: &[ServerId],
@@ -357,6 +369,7 @@
         RequestResult::Failure(match (state.may_have_run, state.was_shed, state.tried.is_empty()) {
             (true, _, _) => ResultCode::ServerLost,
             (false, true, _) => ResultCode::Shed,
+            (false, false, _) if !self.ends_before_stop() => ResultCode::NodeLeaving,
             (false, false, false) => ResultCode::ConnectFailed,
             (false, false, true) if self.has_servers() => ResultCode::QueueFull,
             (false, false, true) => ResultCode::NoServer,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -101,6 +101,9 @@
         requested_ms.map_or(route.timeout, |ms| Span::from_millis(ms).min(route.timeout));
     let limit = routing_config.limits().body;
     let body = outgoing::read(body, limit, duration(time_limit)).await?;
+    if shared.planned_stop().is_some_and(|stop| !stop.accepts_request(shared.now())) {
+        return Err(ResultCode::NodeLeaving);
+    }
     reply::strip_hop_by_hop_headers(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     head.headers.remove(EXPECT);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -11,6 +11,7 @@
         picker::PickerOptions,
         registration::{Registration, ServerId},
         server_registry::{Change, RegistryOptions, ServerRegistry},
+        stop_plan::PlannedStop,
         stream_watch::StreamWatch,
     },
     request::retry::{RetryBudget, RetryOptions},
@@ -21,7 +22,7 @@
     collections::HashMap,
     sync::{
         atomic::{AtomicUsize, Ordering},
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
     },
 };
 use tokio::sync::{watch, Notify};
@@ -93,6 +94,7 @@
     pub store_updates: Notify,
     /// The time until which this node watches the store itself, because it does not get new state from others.
     pub watch_until: Mutex<Option<Timestamp>>,
+    planned_stop: OnceLock<PlannedStop>,
     open_requests: AtomicUsize,
     open_connections: AtomicUsize,
     fleet: Mutex<Fleet>,
@@ -137,6 +139,7 @@
             restart_calls: Notify::new(),
             store_updates: Notify::new(),
             watch_until: Mutex::new(None),
+            planned_stop: OnceLock::new(),
             open_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             fleet: Mutex::new(fleet),
@@ -268,6 +271,16 @@
         run(budget)
     }
 
+    /// Records that a planned stop begins. A process stops only once.
+    pub fn begin_stop(&self, stop: PlannedStop) {
+        self.planned_stop.get_or_init(|| stop);
+    }
+
+    /// Returns the planned stop in progress.
+    pub fn planned_stop(&self) -> Option<&PlannedStop> {
+        self.planned_stop.get()
+    }
+
     /// Counts a request as open until the guard is dropped.
     pub fn track_request(self: &Arc<Self>) -> OpenRequestGuard {
         self.open_requests.fetch_add(1, Ordering::SeqCst);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -133,6 +133,8 @@
     Status(u16),
     /// Refuses before running, with the "not run" header.
     Shed,
+    /// Refuses after this many milliseconds, with the "not run" header.
+    ShedAfter(u64),
     /// Refuses because the address belongs to another server.
     Misdirected,
     /// Runs the request, and closes the connection without a response.
@@ -265,6 +267,10 @@
             Behaviour::Shed => {
                 "HTTP/1.1 503 X\r\nredwing-shed: 1\r\ncontent-length: 0\r\n\r\n".into()
             }
+            Behaviour::ShedAfter(ms) => {
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+                format!("HTTP/1.1 503 X\r\nredwing-request-id: {id}\r\nredwing-shed: 1\r\ncontent-length: 0\r\n\r\n")
+            }
             Behaviour::Misdirected => "HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n".into(),
             Behaviour::LargeBody(ms) => {
                 tokio::time::sleep(Duration::from_millis(ms)).await;
--- a/crates/gateway/tests/stopping.rs
+++ b/crates/gateway/tests/stopping.rs
@@ -3,24 +3,11 @@
 mod common;
 
 use common::{get, header, post, Backend, Behaviour, Caller, TestGateway, LARGE_BODY};
-use redwingtrestle_core::{cases, process::peer_table::NodeState, time::Span};
-use redwingtrestle_gateway::stop::{self, StopPlan};
+use redwingtrestle_core::process::peer_table::NodeState;
+use redwingtrestle_gateway::{shared::Phase, stop};
 use std::{sync::Arc, time::Duration};
 use tokio::{net::TcpStream, runtime::Runtime};
 
-fn plan_times((whole, ttl): (u64, u64)) -> (u64, u64) {
-    let plan = StopPlan::new(Span::from_millis(whole), Span::from_millis(ttl));
-    (plan.leaving.as_millis(), plan.closing.as_millis())
-}
-
-cases! {
-    plan_times;
-    /// Guards against an entry that closes while callers still cache the directory's response.
-    short_ttl_limits_serving_time: (6_000, 1_000) => (1_000, 4_750),
-    /// Guards against a stop that leaves no time for open requests.
-    long_ttl_leaves_time_for_open_requests: (6_000, 30_000) => (2_000, 3_750),
-}
-
 /// Guards against a stop that cuts off an open request, or refuses one that arrives early in the stop.
 #[tokio::test]
 async fn planned_stop_responds_to_open_requests() {
@@ -80,3 +67,55 @@
         assert!(received > LARGE_BODY, "{delay} ms: the reply was cut after {received} bytes");
     }
 }
+
+/// The start of a request head, and of a request whose body is not complete.
+const PARTIAL_HEAD: &str = "POST /once/1 HTTP/1.1\r\nHost: a.example\r\nRedwing-Request-Id: r1\r\n";
+const PARTIAL_BODY: &str =
+    "POST /once/1 HTTP/1.1\r\nHost: a.example\r\nRedwing-Request-Id: r1\r\nContent-Length: 5\r\n\r\nhel";
+
+/// Sends the start of a request while the node is leaving and the rest once it is closing, and returns the status of the
+/// reply and the number of requests that reached the server.
+async fn finish_request_late((start, rest): (&str, &str)) -> (u16, usize) {
+    let server = Backend::start("i-1", Behaviour::Delay(1_500)).await;
+    let gateway = TestGateway::with_servers(&[&server]).await;
+    let shared = gateway.shared.clone();
+    let mut caller = Caller::connect(gateway.entry).await;
+    let stopping = tokio::spawn(async move { stop::stop(&shared).await });
+    gateway
+        .wait_until("the node is leaving", || *gateway.shared.phase.borrow() == Phase::Leaving)
+        .await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    caller.send(start).await;
+    gateway
+        .wait_until("the node is closing", || *gateway.shared.phase.borrow() == Phase::Closing)
+        .await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    caller.send(rest).await;
+    let reply = caller.reply().await;
+    stopping.await.expect("no panic");
+    (reply.map_or(0, |reply| reply.status), server.received().len())
+}
+
+/// Guards against a request that is taken late in a planned stop, and cut off at the server when the process ends.
+#[tokio::test]
+async fn request_completed_late_in_planned_stop_is_refused_as_not_run() {
+    let head_rest = "Content-Length: 5\r\n\r\nhello";
+    for parts in [(PARTIAL_HEAD, head_rest), (PARTIAL_BODY, "lo")] {
+        assert_eq!(finish_request_late(parts).await, (503, 0), "{parts:?}");
+    }
+}
+
+/// Guards against a second send that begins when the process is about to end, and is cut off there.
+#[tokio::test]
+async fn refused_request_is_not_sent_again_at_end_of_planned_stop() {
+    let first = Backend::start("i-1", Behaviour::ShedAfter(1_300)).await;
+    let second = Backend::start("i-2", Behaviour::ShedAfter(1_300)).await;
+    let gateway = TestGateway::with_servers(&[&first, &second]).await;
+    let mut caller = Caller::connect(gateway.entry).await;
+    caller.send(&post("r1")).await;
+    let received = || first.received().len() + second.received().len();
+    gateway.wait_until("a server has the request", || received() == 1).await;
+    stop::stop(&gateway.shared).await;
+    assert_eq!(caller.reply().await.map(|reply| reply.status), Some(503));
+    assert_eq!(received(), 1);
+}
