--- a/crates/node/tests/soak/caller.rs
+++ b/crates/node/tests/soak/caller.rs
@@ -2,13 +2,18 @@
 
 use super::record::{Outcome, Record, SentRequest};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{self, SendRequest};
+use futures_util::stream::{self, StreamExt};
+use http_body_util::{combinators::UnsyncBoxBody, BodyExt, Full, StreamBody};
+use hyper::{
+    body::Frame,
+    client::conn::http1::{self, SendRequest},
+};
 use hyper_util::rt::TokioIo;
 use rand::{rngs::StdRng, seq::IndexedRandom, Rng};
 use redwingtrestle_platform::header_names::header_names;
 use std::{
     collections::HashMap,
+    convert::Infallible,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -24,6 +29,12 @@
 /// The pause between two requests of a caller, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 5..60;
 
+/// The probability that a body is sent in two parts, so that a node may begin to stop between them.
+const SLOW_BODY_PROBABILITY: f64 = 0.04;
+
+/// The pause between the two parts of a body, in milliseconds.
+const BODY_PAUSE_MS: std::ops::Range<u64> = 100..1_500;
+
 /// A caller looks up the entries again after this time.
 const ENTRIES_TTL: Duration = Duration::from_secs(1);
 
@@ -46,7 +57,8 @@
     pub client: reqwest::Client,
 }
 
-type Sender = SendRequest<Full<Bytes>>;
+type RequestBody = UnsyncBoxBody<Bytes, Infallible>;
+type Sender = SendRequest<RequestBody>;
 
 impl Caller {
     /// Sends requests until the given time.
@@ -91,6 +103,21 @@
         None
     }
 
+    /// Returns the body of a request. A few are sent in two parts with a pause between them.
+    fn request_body(&mut self, mut bytes: Vec<u8>) -> RequestBody {
+        if bytes.is_empty() || !self.rng.random_bool(SLOW_BODY_PROBABILITY) {
+            return Full::new(Bytes::from(bytes)).boxed_unsync();
+        }
+        let pause = Duration::from_millis(self.rng.random_range(BODY_PAUSE_MS));
+        let rest = bytes.split_off(bytes.len() / 2);
+        let first = stream::iter([Ok(Frame::data(Bytes::from(bytes)))]);
+        let second = stream::once(async move {
+            tokio::time::sleep(pause).await;
+            Ok(Frame::data(Bytes::from(rest)))
+        });
+        StreamBody::new(first.chain(second)).boxed_unsync()
+    }
+
     async fn send_one(
         &mut self,
         entry: SocketAddr,
@@ -118,7 +145,7 @@
             .header("Host", "a.example")
             .header(&names.attempt, &id)
             .header(&names.deadline, DEADLINE_MS)
-            .body(Full::new(Bytes::from(body.clone())))
+            .body(self.request_body(body.clone()))
             .expect("a request");
         let sent = SentRequest {
             path,
@@ -160,7 +187,7 @@
 /// Sends a request, reads the whole response, and returns whether the connection may be reused.
 async fn exchange(
     sender: &mut Sender,
-    request: hyper::Request<Full<Bytes>>,
+    request: hyper::Request<RequestBody>,
 ) -> Result<(Outcome, bool), hyper::Error> {
     sender.ready().await?;
     let (head, body) = sender.send_request(request).await?.into_parts();
