Believe a refusal only if it provably belongs to the attempt

Callers of a fleet like ours were told "not run, try again" for requests that ran, or such requests ran at a second server.

Cause: the "not run" header and status 421 were believed before the attempt's id was compared. A server that wrote an earlier refusal once more on a kept connection thus refused the next request there, which then ran at a second server, or was answered 503 while it ran. An older 421 also removed the healthy server.

Change: a refusal counts if it echoes the attempt's id, or carries no id on a new connection, where nothing older can arrive. Any other one may come from an earlier request: the send is lost, the connection is closed, and the caller is promised nothing.

Evidence: on the code before, 19 of the 30 cases failed (orders that ran twice, 503 for orders that ran, a removed server); the others passed before and after. All pass now.

Ruled out: a connection with bytes behind a refusal is not reused (bytes_behind_a_refusal_reach_no_request passed before), and neither informational responses nor bytes beyond a stated length decide anything by themselves. The send on a new connection after an unsent one carries nothing older.

Nothing is checked less. Not measured: whether the servers of the users echo the id in each refusal; those that do not would be counted as losing requests.

--- a/crates/gateway/src/server_send.rs
+++ b/crates/gateway/src/server_send.rs
@@ -251,17 +251,15 @@
     };
     let (head, body) = response.into_parts();
     let header_names = &shared.header_names;
-    if head.headers.contains_key(&header_names.not_run) && !head.status.is_success() {
-        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    let id = head.headers.get(&header_names.attempt);
+    let is_own = id.is_some_and(|id| id.as_bytes() == in_flight.attempt().as_bytes());
+    let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    let is_marked = head.headers.contains_key(&header_names.not_run) && !head.status.is_success();
+    // A server may repeat the refusal of an earlier request on a reused connection. Only the id tells them apart.
+    let is_proven = is_own || (id.is_none() && !was_reused);
+    if (is_marked || is_misdirected) && is_proven {
         return handle_refusal(in_flight, is_misdirected, body, connection);
     }
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
-        return handle_refusal(in_flight, true, body, connection);
-    }
-    let is_own = head
-        .headers
-        .get(&header_names.attempt)
-        .is_some_and(|id| id.as_bytes() == in_flight.attempt().as_bytes());
     let is_signed = head.headers.contains_key(&header_names.signature);
     if !is_own || (head.status.is_success() && !is_signed) {
         in_flight.observe(Observation::Lost);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod endless;
+pub(crate) mod scripted;
 
 use redwingtrestle_core::{
     process::registration::{Registration, RegistrationState, ServerId},
--- /dev/null
+++ b/crates/gateway/tests/faulty_responses.rs
@@ -0,0 +1,277 @@
+//! Servers that repeat an earlier refusal or send more than one response: no caller is told that a request did not run
+//! while it runs.
+
+mod common;
+
+use common::{
+    get, post,
+    scripted::{refusal, success, ScriptedServer, Step, Turn},
+    Backend, Behaviour, TestGateway,
+};
+use redwingtrestle_core::process::registration::{Registration, RegistrationState};
+use std::{
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
+
+/// The requests of a test in which the gateway picks the servers.
+const REQUESTS: u32 = 40;
+
+/// The statuses that promise that a request did not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// A refusal that a server writes once more.
+#[derive(Clone, Copy, Debug)]
+struct Repeat {
+    status: u16,
+    has_id: bool,
+    /// How long the next request waits for it, in milliseconds.
+    delay_ms: u64,
+}
+
+impl Repeat {
+    /// Serves the first request of a connection, and writes a refusal with its id before the response to each further
+    /// one.
+    fn script(self) -> impl Fn(&Turn) -> Vec<Step> + Send + Sync + 'static {
+        move |turn| match turn.earlier.first() {
+            None => vec![Step::Run, Step::text(success(&turn.id, "ok"))],
+            Some(first) => self.run_and_repeat(turn, first),
+        }
+    }
+
+    fn run_and_repeat(self, turn: &Turn, first: &str) -> Vec<Step> {
+        vec![
+            Step::Run,
+            Step::Pause(self.delay_ms),
+            Step::text(self.refusal(first)),
+            Step::text(success(&turn.id, "ok")),
+        ]
+    }
+
+    fn refusal(self, id: &str) -> String {
+        refusal(self.status, self.has_id.then_some(id))
+    }
+}
+
+async fn add(gateway: &TestGateway, server: &ScriptedServer) {
+    let other = Backend::start("i-other", Behaviour::Serve).await;
+    let ready = other.registration(RegistrationState::Ready, 1);
+    gateway.store.register(Registration { id: server.id.clone(), addr: server.addr, ..ready });
+    gateway
+        .wait_until("the scripted server is known", || {
+            gateway.shared.fleet().registry.server(&server.id).is_some()
+        })
+        .await;
+}
+
+async fn start(server: &ScriptedServer, sound: &[&Backend]) -> TestGateway {
+    let gateway = TestGateway::with_servers(sound).await;
+    add(&gateway, server).await;
+    gateway
+}
+
+fn is_known(gateway: &TestGateway, server: &ScriptedServer) -> bool {
+    gateway.shared.fleet().registry.server(&server.id).is_some()
+}
+
+/// Returns how often the attempt `id` arrived at a sound server, which runs each request.
+fn sound_runs(sound: &Backend, id: &str) -> u32 {
+    let received = sound.received();
+    let is_own = |head: &str| common::header(head, "redwing-request-id") == id;
+    received.iter().filter(|request| is_own(&request.head)).count() as u32
+}
+
+/// Guards against a promise for an order that runs, when no other server is there.
+async fn order_that_runs_is_not_refused(repeat: Repeat) {
+    let server = ScriptedServer::start("i-1", repeat.script()).await;
+    let gateway = start(&server, &[]).await;
+    assert_eq!(gateway.call(&post("first")).await.status, 200);
+    let reply = gateway.call(&post("r1")).await;
+    assert!(server.reused() > 0, "the kept connection was not used");
+    assert_eq!(server.runs("r1"), 1, "{repeat:?}");
+    assert!(!PROMISES.contains(&reply.status), "{repeat:?}: {}", reply.head);
+    assert!(is_known(&gateway, &server), "{repeat:?}: the server was removed");
+}
+
+/// Guards against an order that runs at two servers, and against a promise for one that runs.
+async fn order_runs_at_most_once(repeat: Repeat) {
+    let server = ScriptedServer::start("i-1", repeat.script()).await;
+    let sound = Backend::start("i-2", Behaviour::Serve).await;
+    let gateway = start(&server, &[&sound]).await;
+    for i in 0..REQUESTS {
+        let id = format!("r{i}");
+        let reply = gateway.call(&post(&id)).await;
+        let runs = server.runs(&id) + sound_runs(&sound, &id);
+        assert!(runs <= 1, "{repeat:?}: {id} ran {runs} times");
+        assert!(runs == 0 || !PROMISES.contains(&reply.status), "{repeat:?}: {}", reply.head);
+    }
+    assert!(server.reused() > 0, "no kept connection was used");
+}
+
+/// Guards against a repeatable request that fails although another server would serve it.
+async fn repeatable_request_is_served_elsewhere(repeat: Repeat) {
+    let server = ScriptedServer::start("i-1", repeat.script()).await;
+    let sound = Backend::start("i-2", Behaviour::Serve).await;
+    let gateway = start(&server, &[&sound]).await;
+    for i in 0..REQUESTS {
+        let reply = gateway.call(&get("/free/1", &format!("r{i}"))).await;
+        assert_eq!((reply.status, reply.body.as_slice()), (200, b"ok".as_slice()), "{repeat:?}");
+    }
+    assert!(server.reused() > 0, "no kept connection was used");
+}
+
+macro_rules! repeat_cases {
+    ($($module:ident: $status:expr, $has_id:expr, $delay_ms:expr;)+) => {
+        $(
+            mod $module {
+                use super::*;
+                const REPEAT: Repeat =
+                    Repeat { status: $status, has_id: $has_id, delay_ms: $delay_ms };
+                #[tokio::test]
+                async fn order_that_runs_is_not_refused() {
+                    super::order_that_runs_is_not_refused(REPEAT).await;
+                }
+                #[tokio::test]
+                async fn order_runs_at_most_once() {
+                    super::order_runs_at_most_once(REPEAT).await;
+                }
+                #[tokio::test]
+                async fn repeatable_request_is_served_elsewhere() {
+                    super::repeatable_request_is_served_elsewhere(REPEAT).await;
+                }
+            }
+        )+
+    };
+}
+
+repeat_cases! {
+    repeated_503_with_id: 503, true, 0;
+    repeated_503_without_id: 503, false, 0;
+    late_503_with_id: 503, true, 60;
+    late_503_without_id: 503, false, 60;
+    repeated_429_with_id: 429, true, 0;
+    repeated_400_without_id: 400, false, 0;
+    repeated_421_with_id: 421, true, 0;
+    repeated_421_without_id: 421, false, 0;
+}
+
+/// Guards against removing a healthy server because of an older 421 that states nothing of the request.
+#[tokio::test]
+async fn unmarked_421_of_an_earlier_request_removes_no_server() {
+    let server = ScriptedServer::start("i-1", |turn| match turn.earlier.first() {
+        None => vec![Step::Run, Step::text(success(&turn.id, "ok"))],
+        Some(_) => {
+            vec![Step::Run, Step::text("HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n")]
+        }
+    })
+    .await;
+    let gateway = start(&server, &[]).await;
+    assert_eq!(gateway.call(&post("first")).await.status, 200);
+    let reply = gateway.call(&post("r1")).await;
+    assert!(server.reused() > 0, "the kept connection was not used");
+    assert_eq!(server.runs("r1"), 1);
+    assert!(!PROMISES.contains(&reply.status), "{}", reply.head);
+    assert!(is_known(&gateway, &server));
+}
+
+/// Guards against believing a refusal with the id of another attempt on a new connection.
+#[tokio::test]
+async fn foreign_refusal_on_a_new_connection_is_no_promise() {
+    for status in [503, 421] {
+        let server = ScriptedServer::start("i-1", move |_| {
+            vec![Step::Run, Step::text(refusal(status, Some("another")))]
+        })
+        .await;
+        let gateway = start(&server, &[]).await;
+        let reply = gateway.call(&post("r1")).await;
+        assert_eq!(server.runs("r1"), 1);
+        assert!(!PROMISES.contains(&reply.status), "{}", reply.head);
+        assert!(is_known(&gateway, &server));
+    }
+}
+
+/// Guards against giving up requests whose own refusal arrives, with the id on any connection and without one on a new
+/// connection.
+#[tokio::test]
+async fn own_refusal_is_believed() {
+    for has_id in [true, false] {
+        let served = Arc::new(AtomicUsize::new(0));
+        let server = ScriptedServer::start("i-1", move |turn| {
+            if has_id && served.fetch_add(1, Ordering::SeqCst) == 0 {
+                return vec![Step::text(success(&turn.id, "ok"))];
+            }
+            let close = if has_id { vec![] } else { vec![Step::Close] };
+            let text = Step::text(refusal(503, has_id.then_some(&*turn.id)));
+            [vec![text], close].concat()
+        })
+        .await;
+        let gateway = start(&server, &[]).await;
+        if has_id {
+            assert_eq!(gateway.call(&post("first")).await.status, 200);
+        }
+        let reply = gateway.call(&post("r1")).await;
+        assert_eq!(reply.status, 503, "with an id: {has_id}");
+        assert!(!common::header(&reply.head, "retry-after").is_empty());
+    }
+}
+
+/// Guards against reusing a connection on which more bytes came than the refusal, at once or while it was idle.
+#[tokio::test]
+async fn bytes_behind_a_refusal_reach_no_request() {
+    for delay_ms in [0, 20] {
+        let server = ScriptedServer::start("i-1", move |turn| {
+            if !turn.earlier.is_empty() {
+                return vec![Step::Run, Step::text(success(&turn.id, "reused"))];
+            }
+            let refusal = refusal(503, Some(&turn.id));
+            if delay_ms == 0 {
+                return vec![Step::text(format!("{refusal}{refusal}"))];
+            }
+            vec![Step::text(refusal.clone()), Step::Pause(delay_ms), Step::text(refusal)]
+        })
+        .await;
+        let sound = Backend::start("i-2", Behaviour::Serve).await;
+        let gateway = start(&server, &[&sound]).await;
+        for i in 0..20 {
+            let reply = gateway.call(&post(&format!("r{i}"))).await;
+            assert_eq!((reply.status, reply.body.as_slice()), (200, b"ok".as_slice()));
+            tokio::time::sleep(Duration::from_millis(2 * delay_ms)).await;
+        }
+        assert_eq!(server.all_runs(), 0, "the connection was used again");
+    }
+}
+
+/// Guards against an informational response that is taken for the response, or that hides an older refusal.
+#[tokio::test]
+async fn informational_responses_decide_nothing() {
+    let interim = "HTTP/1.1 103 Early Hints\r\nredwing-shed: 1\r\n\r\n";
+    let server = ScriptedServer::start("i-1", move |turn| match turn.earlier.first() {
+        None => vec![Step::Run, Step::text(format!("{interim}{}", success(&turn.id, "ok")))],
+        Some(first) => {
+            vec![Step::Run, Step::text(format!("{interim}{}", refusal(503, Some(first))))]
+        }
+    })
+    .await;
+    let gateway = start(&server, &[]).await;
+    assert_eq!(gateway.call(&post("r1")).await.status, 200);
+    let reply = gateway.call(&post("r2")).await;
+    assert_eq!(server.runs("r2"), 1);
+    assert!(!PROMISES.contains(&reply.status), "{}", reply.head);
+}
+
+/// Guards against bytes beyond the stated length that reach this caller or the next.
+#[tokio::test]
+async fn bytes_beyond_the_stated_length_reach_no_caller() {
+    let server = ScriptedServer::start("i-1", |turn| {
+        vec![Step::Run, Step::text(success(&turn.id, "ok") + "more than stated")]
+    })
+    .await;
+    let gateway = start(&server, &[]).await;
+    for i in 0..5 {
+        let reply = gateway.call(&post(&format!("r{i}"))).await;
+        assert_eq!((reply.status, reply.body.as_slice()), (200, b"ok".as_slice()));
+    }
+}
