Send an attempt again to the same server only on a new connection

An order was answered 503 while it ran at its server.

Cause: after a refusal, a lone server is tried again after a pause, with the same id and on the same kept connection. A server that wrote the refusal of the first send once more was believed, as it carries the id of this attempt.

Change: a second send of an attempt to a server takes no kept connection, so nothing of the first send can arrive on it.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -148,11 +148,12 @@
                             return self.final_result(state);
                         };
                         retry_body = next.buffered_copy();
+                        let is_repeat = state.tried.contains(&choice.id);
                         state.tried.push(choice.id.clone());
                         state.sends += 1;
                         state.arrivals += 1;
                         state.last_choice = Some(choice.clone());
-                        running.push(self.send(choice, next).boxed());
+                        running.push(self.send(choice, next, is_repeat).boxed());
                     }
                     None if running.is_empty() => return self.final_result(state),
                     None => {}
@@ -180,10 +181,15 @@
         }
     }
 
-    async fn send(&self, choice: Choice, body: RequestBody) -> (Choice, SendResult) {
-        let send_result =
-            server_send::send(&self.shared, &choice, &self.outgoing, body, self.deadline).await;
-        (choice, send_result)
+    async fn send(
+        &self,
+        choice: Choice,
+        body: RequestBody,
+        is_repeat: bool,
+    ) -> (Choice, SendResult) {
+        let RoutedRequest { shared, outgoing, deadline, .. } = self;
+        let sent = server_send::send(shared, &choice, outgoing, body, *deadline, is_repeat).await;
+        (choice, sent)
     }
 
     /// Returns how long to wait for the first server before a hedged send.
--- a/crates/gateway/src/server_send.rs
+++ b/crates/gateway/src/server_send.rs
@@ -85,17 +85,19 @@
     Lost(String),
 }
 
-/// Sends a request to the chosen server and waits for the result.
+/// Sends a request to the chosen server and waits for the result. With `is_repeat` the attempt was sent to this server
+/// before: a repeated refusal of that send would carry the same id, so no kept connection is used.
 pub async fn send(
     shared: &Arc<Shared>,
     choice: &Choice,
     request: &OutgoingRequest,
     body: RequestBody,
     deadline: Timestamp,
+    is_repeat: bool,
 ) -> SendResult {
     let mut in_flight = InFlightSend::start(shared, &choice.id, &request.attempt);
     let retry_body = body.buffered_copy();
-    let connection = match get_connection(shared, choice, request.at_most_once).await {
+    let connection = match get_connection(shared, choice, request.at_most_once, is_repeat).await {
         Ok(connection) => connection,
         Err(e) => {
             log::info!(target: "links", server = choice.id.as_str(), addr:% = choice.addr;
@@ -129,8 +131,10 @@
     shared: &Shared,
     choice: &Choice,
     at_most_once: bool,
+    is_repeat: bool,
 ) -> std::io::Result<ServerConnection> {
-    match shared.pool.take_idle(&choice.id, shared.now(), at_most_once) {
+    let take_idle = || shared.pool.take_idle(&choice.id, shared.now(), at_most_once);
+    match (!is_repeat).then(take_idle).flatten() {
         Some(connection) => Ok(connection),
         None => ServerConnection::connect(choice.addr).await,
     }
--- a/crates/gateway/tests/faulty_responses.rs
+++ b/crates/gateway/tests/faulty_responses.rs
@@ -158,6 +158,21 @@
     repeated_421_without_id: 421, false, 0;
 }
 
+/// Guards against a promise because of the refusal of an earlier send of the same attempt, which carries its id.
+#[tokio::test]
+async fn refusal_of_an_earlier_send_is_not_taken_for_that_of_the_second() {
+    let repeat = Repeat { status: 503, has_id: true, delay_ms: 0 };
+    let server = ScriptedServer::start("i-1", move |turn| match turn.earlier.first() {
+        None => vec![Step::text(repeat.refusal(&turn.id))],
+        Some(first) => repeat.run_and_repeat(turn, first),
+    })
+    .await;
+    let gateway = start(&server, &[]).await;
+    let reply = gateway.call(&post("r1")).await;
+    assert_eq!(server.received("r1"), 2, "the order was not sent again");
+    assert!(server.runs("r1") == 0 || !PROMISES.contains(&reply.status), "{}", reply.head);
+}
+
 /// Guards against removing a healthy server because of an older 421 that states nothing of the request.
 #[tokio::test]
 async fn unmarked_421_of_an_earlier_request_removes_no_server() {
