Pass on no change of the protocol that nobody asked for

A server's 101 with the attempt's id reached the caller as the response; what follows on such a connection is no HTTP. It now counts as lost, so an order gets 502. Evidence: switching_protocols_is_no_response got 101 before.

--- a/crates/gateway/src/server_send.rs
+++ b/crates/gateway/src/server_send.rs
@@ -265,7 +265,9 @@
         return handle_refusal(in_flight, is_misdirected, body, connection);
     }
     let is_signed = head.headers.contains_key(&header_names.signature);
-    if !is_own || (head.status.is_success() && !is_signed) {
+    // Nobody asks for another protocol, so 101 is no response.
+    let is_final = !head.status.is_informational();
+    if !is_own || !is_final || (head.status.is_success() && !is_signed) {
         in_flight.observe(Observation::Lost);
         shared.pool.record_failed_reuse(shared.now());
         return SendResult::Lost(format!(
--- a/crates/gateway/tests/faulty_responses.rs
+++ b/crates/gateway/tests/faulty_responses.rs
@@ -277,6 +277,22 @@
     assert!(!PROMISES.contains(&reply.status), "{}", reply.head);
 }
 
+/// Guards against passing on a change of the protocol that nobody asked for.
+#[tokio::test]
+async fn switching_protocols_is_no_response() {
+    let server = ScriptedServer::start("i-1", |turn| {
+        let head = format!("HTTP/1.1 101 X\r\nredwing-request-id: {}\r\n", turn.id);
+        vec![
+            Step::Run,
+            Step::text(head + "redwing-signature: s\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n"),
+        ]
+    })
+    .await;
+    let gateway = start(&server, &[]).await;
+    let reply = gateway.call(&post("r1")).await;
+    assert_eq!(reply.status, 502, "{}", reply.head);
+}
+
 /// Guards against bytes beyond the stated length that reach this caller or the next.
 #[tokio::test]
 async fn bytes_beyond_the_stated_length_reach_no_caller() {
