Show that a cut response reaches no caller as a whole one

Other operators saw a 200 with an empty or short body after a server stopped in the middle of a head. Each prefix of a head with a length, chunked and without a length, closed and reset: an order gets a failure without a promise, a repeatable request is served by another server. The same for cut bodies.

Not detectable: a body without a length whose connection is closed in order, as this close is its end.

--- a/crates/gateway/tests/faulty_responses.rs
+++ b/crates/gateway/tests/faulty_responses.rs
@@ -1,18 +1,19 @@
-//! Servers that repeat an earlier refusal or send more than one response: no caller is told that a request did not run
-//! while it runs.
+//! Servers that repeat an earlier refusal, stop in the middle of a response or send more than one: no caller is told
+//! that a request did not run while it runs, and no caller gets a part of a response as a whole one.
 
 mod common;
 
 use common::{
     get, post,
     scripted::{refusal, success, ScriptedServer, Step, Turn},
-    Backend, Behaviour, TestGateway,
+    Backend, Behaviour, Reply, TestGateway,
 };
 use redwingtrestle_core::process::registration::{Registration, RegistrationState};
 use std::{
+    collections::HashSet,
     sync::{
         atomic::{AtomicUsize, Ordering},
-        Arc,
+        Arc, Mutex,
     },
     time::Duration,
 };
@@ -20,9 +21,28 @@
 /// The requests of a test in which the gateway picks the servers.
 const REQUESTS: u32 = 40;
 
+/// The cut responses that one gateway gets.
+const CUTS_PER_GATEWAY: usize = 6;
+
 /// The statuses that promise that a request did not run.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
+/// The end of the connection of a cut response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cut {
+    Closed,
+    Reset,
+}
+
+impl Cut {
+    fn step(self) -> Step {
+        match self {
+            Cut::Closed => Step::Close,
+            Cut::Reset => Step::Reset,
+        }
+    }
+}
+
 /// A refusal that a server writes once more.
 #[derive(Clone, Copy, Debug)]
 struct Repeat {
@@ -293,6 +313,132 @@
     assert_eq!(reply.status, 502, "{}", reply.head);
 }
 
+/// The framings of a response with the body `ok`, as head and body.
+fn framed(id: &str) -> [(String, &'static str); 3] {
+    let head = format!("HTTP/1.1 200 OK\r\nredwing-request-id: {id}\r\nredwing-signature: s\r\n");
+    [
+        (format!("{head}content-length: 2\r\n\r\n"), "ok"),
+        (format!("{head}transfer-encoding: chunked\r\n\r\n"), "2\r\nok\r\n0\r\n\r\n"),
+        (format!("{head}connection: close\r\n\r\n"), "ok"),
+    ]
+}
+
+fn is_failure_without_promise(reply: &Reply) -> bool {
+    reply.status >= 500 && !PROMISES.contains(&reply.status)
+}
+
+/// Guards against an order that is reported as served, or as not run, because of a part of a response's head.
+async fn cut_head_of_an_order_is_a_failure(framing: usize, cut: Cut) {
+    let length = Arc::new(AtomicUsize::new(0));
+    let current = length.clone();
+    let server = ScriptedServer::start("i-1", move |turn| {
+        let head = framed(&turn.id)[framing].0.clone().into_bytes();
+        let part = head[..current.load(Ordering::SeqCst)].to_vec();
+        vec![Step::Run, Step::Write(part), Step::Pause(1), cut.step()]
+    })
+    .await;
+    let gateway = start(&server, &[]).await;
+    for part in 0..framed("r000")[framing].0.len() {
+        length.store(part, Ordering::SeqCst);
+        let id = format!("r{part:03}");
+        let reply = gateway.call(&post(&id)).await;
+        assert_eq!(server.received(&id), 1, "{part} bytes: {}", reply.head);
+        assert!(is_failure_without_promise(&reply), "{part} bytes: {}", reply.head);
+    }
+}
+
+/// Guards against a repeatable request that fails, or gets a part of a response, because a head was cut.
+async fn cut_head_is_served_elsewhere(framing: usize, cut: Cut) {
+    let length = Arc::new(AtomicUsize::new(0));
+    let seen: Arc<Mutex<HashSet<String>>> = Arc::default();
+    let mut servers = Vec::new();
+    for name in ["i-1", "i-2"] {
+        let (length, seen) = (length.clone(), seen.clone());
+        let script = move |turn: &Turn| {
+            if !seen.lock().unwrap().insert(turn.id.clone()) {
+                return vec![Step::text(success(&turn.id, "ok"))];
+            }
+            let head = framed(&turn.id)[framing].0.clone().into_bytes();
+            let part = head[..length.load(Ordering::SeqCst)].to_vec();
+            vec![Step::Write(part), Step::Pause(1), cut.step()]
+        };
+        servers.push(ScriptedServer::start(name, script).await);
+    }
+    let parts: Vec<usize> = (0..framed("r000")[framing].0.len()).collect();
+    // Each gateway gets few requests, as it gives up servers that fail all of them.
+    for parts in parts.chunks(CUTS_PER_GATEWAY) {
+        let gateway = TestGateway::with_servers(&[]).await;
+        for server in &servers {
+            add(&gateway, server).await;
+        }
+        for part in parts {
+            length.store(*part, Ordering::SeqCst);
+            let id = format!("r{part:03}");
+            let reply = gateway.call(&get("/free/1", &id)).await;
+            let arrivals: u32 = servers.iter().map(|server| server.received(&id)).sum();
+            let answer = (reply.status, reply.body.as_slice());
+            assert_eq!(answer, (200, b"ok".as_slice()), "{part} bytes");
+            assert_eq!(arrivals, 2, "{part} bytes");
+        }
+    }
+}
+
+/// Guards against a body that looks whole because the connection broke in the middle of it.
+async fn cut_body_is_a_failure(framing: usize, cut: Cut) {
+    // The end of a body without a length is the end of the connection, so only a reset shows that it was cut.
+    if framing == 2 && cut == Cut::Closed {
+        return;
+    }
+    let length = Arc::new(AtomicUsize::new(0));
+    let current = length.clone();
+    let server = ScriptedServer::start("i-1", move |turn| {
+        let (head, body) = framed(&turn.id)[framing].clone();
+        let part = [head.as_bytes(), &body.as_bytes()[..current.load(Ordering::SeqCst)]].concat();
+        vec![Step::Run, Step::Write(part), Step::Pause(5), cut.step()]
+    })
+    .await;
+    let gateway = start(&server, &[]).await;
+    let parts = framed("r000")[framing].1.len() + usize::from(framing == 2);
+    for part in 0..parts {
+        length.store(part, Ordering::SeqCst);
+        let id = format!("r{part:03}");
+        let reply = gateway.call(&post(&id)).await;
+        assert_eq!(server.received(&id), 1, "{part} bytes: {}", reply.head);
+        assert!(is_failure_without_promise(&reply), "{part} bytes: {}", reply.head);
+    }
+}
+
+macro_rules! cut_cases {
+    ($($module:ident: $framing:expr, $cut:expr;)+) => {
+        $(
+            mod $module {
+                use super::*;
+                #[tokio::test]
+                async fn cut_head_of_an_order_is_a_failure() {
+                    super::cut_head_of_an_order_is_a_failure($framing, $cut).await;
+                }
+                #[tokio::test]
+                async fn cut_head_is_served_elsewhere() {
+                    super::cut_head_is_served_elsewhere($framing, $cut).await;
+                }
+                #[tokio::test]
+                async fn cut_body_is_a_failure() {
+                    super::cut_body_is_a_failure($framing, $cut).await;
+                }
+            }
+        )+
+    };
+}
+
+cut_cases! {
+    with_a_length_closed: 0, Cut::Closed;
+    with_a_length_reset: 0, Cut::Reset;
+    chunked_closed: 1, Cut::Closed;
+    chunked_reset: 1, Cut::Reset;
+    without_a_length_closed: 2, Cut::Closed;
+    without_a_length_reset: 2, Cut::Reset;
+}
+
 /// Guards against bytes beyond the stated length that reach this caller or the next.
 #[tokio::test]
 async fn bytes_beyond_the_stated_length_reach_no_caller() {
