Let the soak's servers repeat refusals and cut heads

Two behaviours are appended. The range of the draw grows from 8 to 10, so seeds replay other misbehaviours; the kinds and the order of other events stay.

--- a/crates/node/tests/soak/events.rs
+++ b/crates/node/tests/soak/events.rs
@@ -263,7 +263,7 @@
 
     async fn misbehave_server(&self) {
         let id = self.random_server();
-        let behaviour = match self.state().rng.random_range(0..8) {
+        let behaviour = match self.state().rng.random_range(0..10) {
             0 => Behaviour::Fail,
             1 => Behaviour::Shed,
             2 => Behaviour::FailUnmarked,
@@ -271,7 +271,9 @@
             4 => Behaviour::TruncateResponse,
             5 => Behaviour::ExtraResponse,
             6 => Behaviour::WrongId,
-            _ => Behaviour::Hang,
+            7 => Behaviour::Hang,
+            8 => Behaviour::RepeatRefusal,
+            _ => Behaviour::CutHead,
         };
         let set = |behaviour| {
             let state = self.state();
--- a/crates/node/tests/soak/server.rs
+++ b/crates/node/tests/soak/server.rs
@@ -40,6 +40,10 @@
     WrongId,
     /// Runs requests and never responds.
     Hang,
+    /// Runs requests and writes the refusal of another request before the response.
+    RepeatRefusal,
+    /// Runs requests and closes the connection in the middle of the response's head.
+    CutHead,
 }
 
 /// A request takes `WORK`, but about one in `LONG_EACH` takes `LONG_WORK`, so that some are still open when their caller
@@ -223,6 +227,15 @@
             let _ = socket.write_all(&response[..response.len() - body.len() / 2]).await;
             return false;
         }
+        Behaviour::CutHead => {
+            let head = response.len() - body.len();
+            // The connection is closed whether or not these bytes arrive.
+            let _ = socket.write_all(&response[..head / 2]).await;
+            return false;
+        }
+        Behaviour::RepeatRefusal => {
+            response = [encode_refusal(503, "another"), response].concat();
+        }
         Behaviour::WrongId => response = encode_response(200, "another", &signature, b"not yours"),
         Behaviour::ExtraResponse => {
             response.extend(encode_response(200, "another", &signature, b"not yours"));
