--- a/crates/gateway/src/server_send.rs
+++ b/crates/gateway/src/server_send.rs
@@ -85,17 +85,19 @@
     Lost(String),
 }
 
-/// Sends a request to the chosen server and waits for the result.
+/// Sends a request to the chosen server and waits for the result. With `is_repeat` the attempt was sent to this server
+/// before: a repeated refusal of that send would carry the same id, so no kept connection is used.
 pub async fn send(
     shared: &Arc<Shared>,
     choice: &Choice,
     request: &OutgoingRequest,
     body: RequestBody,
     deadline: Timestamp,
+    is_repeat: bool,
 ) -> SendResult {
     let mut in_flight = InFlightSend::start(shared, &choice.id, &request.attempt);
     let retry_body = body.buffered_copy();
-    let connection = match get_connection(shared, choice, request.at_most_once).await {
+    let connection = match get_connection(shared, choice, request.at_most_once, is_repeat).await {
         Ok(connection) => connection,
         Err(e) => {
             log::info!(target: "links", server = choice.id.as_str(), addr:% = choice.addr;
@@ -129,8 +131,10 @@
     shared: &Shared,
     choice: &Choice,
     at_most_once: bool,
+    is_repeat: bool,
 ) -> std::io::Result<ServerConnection> {
-    match shared.pool.take_idle(&choice.id, shared.now(), at_most_once) {
+    let take_idle = || shared.pool.take_idle(&choice.id, shared.now(), at_most_once);
+    match (!is_repeat).then(take_idle).flatten() {
         Some(connection) => Ok(connection),
         None => ServerConnection::connect(choice.addr).await,
     }
@@ -251,19 +255,19 @@
     };
     let (head, body) = response.into_parts();
     let header_names = &shared.header_names;
-    if head.headers.contains_key(&header_names.not_run) && !head.status.is_success() {
-        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    let id = head.headers.get(&header_names.attempt);
+    let is_own = id.is_some_and(|id| id.as_bytes() == in_flight.attempt().as_bytes());
+    let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    let is_marked = head.headers.contains_key(&header_names.not_run) && !head.status.is_success();
+    // A server may repeat the refusal of an earlier request on a reused connection. Only the id tells them apart.
+    let is_proven = is_own || (id.is_none() && !was_reused);
+    if (is_marked || is_misdirected) && is_proven {
         return handle_refusal(in_flight, is_misdirected, body, connection);
     }
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
-        return handle_refusal(in_flight, true, body, connection);
-    }
-    let is_own = head
-        .headers
-        .get(&header_names.attempt)
-        .is_some_and(|id| id.as_bytes() == in_flight.attempt().as_bytes());
     let is_signed = head.headers.contains_key(&header_names.signature);
-    if !is_own || (head.status.is_success() && !is_signed) {
+    // Nobody asks for another protocol, so 101 is no response.
+    let is_final = !head.status.is_informational();
+    if !is_own || !is_final || (head.status.is_success() && !is_signed) {
         in_flight.observe(Observation::Lost);
         shared.pool.record_failed_reuse(shared.now());
         return SendResult::Lost(format!(
--- a/crates/node/tests/soak/server.rs
+++ b/crates/node/tests/soak/server.rs
@@ -40,6 +40,10 @@
     WrongId,
     /// Runs requests and never responds.
     Hang,
+    /// Runs requests and writes the refusal of another request before the response.
+    RepeatRefusal,
+    /// Runs requests and closes the connection in the middle of the response's head.
+    CutHead,
 }
 
 /// A request takes `WORK`, but about one in `LONG_EACH` takes `LONG_WORK`, so that some are still open when their caller
@@ -172,7 +176,6 @@
     request: &ReceivedRequest,
     behaviour: Behaviour,
 ) -> bool {
-    let names = header_names();
     let is_for_this_server = request.target.is_empty() || request.target == identity.id;
     let was_run = is_for_this_server && behaviour != Behaviour::Shed;
     let number = identity.record.add_arrival(
@@ -190,9 +193,7 @@
     );
     if !was_run {
         let status = if is_for_this_server { 503 } else { 421 };
-        let text =
-            format!("HTTP/1.1 {status} X\r\n{}: 1\r\nContent-Length: 0\r\n\r\n", names.not_run);
-        return socket.write_all(text.as_bytes()).await.is_ok();
+        return socket.write_all(&encode_refusal(status, &request.id)).await.is_ok();
     }
     let signature = format!("{}.{number}.{}", identity.id, identity.service);
     let is_long = request.id.bytes().map(u32::from).sum::<u32>() % LONG_EACH == 0;
@@ -226,6 +227,15 @@
             let _ = socket.write_all(&response[..response.len() - body.len() / 2]).await;
             return false;
         }
+        Behaviour::CutHead => {
+            let head = response.len() - body.len();
+            // The connection is closed whether or not these bytes arrive.
+            let _ = socket.write_all(&response[..head / 2]).await;
+            return false;
+        }
+        Behaviour::RepeatRefusal => {
+            response = [encode_refusal(503, "another"), response].concat();
+        }
         Behaviour::WrongId => response = encode_response(200, "another", &signature, b"not yours"),
         Behaviour::ExtraResponse => {
             response.extend(encode_response(200, "another", &signature, b"not yours"));
@@ -238,6 +248,13 @@
     socket.write_all(&response).await.is_ok()
 }
 
+fn encode_refusal(status: u16, id: &str) -> Vec<u8> {
+    let names = header_names();
+    let (not_run, attempt) = (names.not_run, names.attempt);
+    format!("HTTP/1.1 {status} X\r\n{not_run}: 1\r\n{attempt}: {id}\r\nContent-Length: 0\r\n\r\n")
+        .into_bytes()
+}
+
 fn encode_response(status: u16, id: &str, signature: &str, body: &[u8]) -> Vec<u8> {
     let names = header_names();
     let head = format!(
