Take a server out of use when its response says that it leaves

Callers saw: a request reached a server that had said in an earlier response, passed on by the same node, that it leaves, for as long as the store said that the server was ready.

Cause: a node learned of a leaving server only from its registration. The header was passed on and not read.

Change: a response of the attempt that carries the header marks the start of the server (id, start, address, service) in the registry. It is out of use from then on, its idle connections are closed, and no record of the same start brings it back; the marks are kept beside the servers, so removal and insertion do not lose them.

--- a/crates/core/src/process/server_registry.rs
+++ b/crates/core/src/process/server_registry.rs
@@ -5,9 +5,11 @@
     process::{
         health_estimate::{HealthEstimate, HealthOptions, Observation},
         latency::Latency,
+        leaving_servers::LeavingServers,
         recent_ranks::RecentRanks,
         registration::{Registration, RegistrationState, ServerId},
         service_outcomes::{OutcomeCounts, ServiceOutcomes},
+        start_marks::ServerStart,
         tracked_server::{Counts, Presence, ServerReport, TrackedServer},
     },
     time::{Span, Timestamp},
@@ -86,6 +88,7 @@
     unreported: Vec<ServerId>,
     /// Saved estimates of servers that have not registered since the restart.
     restored: HashMap<ServerId, HealthEstimate>,
+    leaving: LeavingServers,
     last_store_outage: Option<Timestamp>,
     /// Ended registrations below this position may have been removed.
     pruned_to: u64,
@@ -105,6 +108,7 @@
             recent_ranks: HashMap::new(),
             unreported: Vec::new(),
             restored: HashMap::new(),
+            leaving: LeavingServers::default(),
             last_store_outage: None,
             pruned_to: 0,
         }
@@ -288,17 +292,43 @@
             self.pruned_to = self.pruned_to.max(position);
             self.remove(&id);
         }
+        let servers = &self.servers;
+        self.leaving.tick(now, |start| {
+            servers.get(&start.id).is_some_and(|s| ServerStart::from(&s.registration) == *start)
+        });
+    }
+
+    /// Marks a start of a server as leaving, because a response of it says so, and returns whether that is new. No
+    /// record of the same start undoes it, as the store may be behind.
+    pub fn mark_leaving(&mut self, now: Timestamp, start: &ServerStart) -> bool {
+        self.leaving.mark(now, start)
+    }
+
+    /// Returns whether a response of the server's current start said that it leaves.
+    pub fn is_leaving(&self, id: &ServerId) -> bool {
+        self.leaving_since(id).is_some()
+    }
+
+    /// Returns whether a server left too long ago to get even a request for which it was already chosen.
+    pub fn has_left(&self, now: Timestamp, id: &ServerId) -> bool {
+        let since = self.leaving_since(id);
+        since.is_some_and(|since| now.since(since) > self.options.outage_grace)
+    }
+
+    fn leaving_since(&self, id: &ServerId) -> Option<Timestamp> {
+        self.leaving.since(&self.servers.get(id)?.registration)
     }
 
     /// Returns the servers of a service that may get new work.
     ///
     /// A server whose registration ended recently around an outage of the store is still used, because the
     /// registration may only have lapsed. If the service has no other server, the same applies to every server that
-    /// stopped accepting work recently.
+    /// stopped accepting work recently, or said recently in a response that it leaves.
     pub fn usable(&self, now: Timestamp, service: &ServiceName) -> Vec<&TrackedServer> {
         let ids = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
         let servers = || ids.iter().filter_map(|id| self.servers.get(id));
-        let recent = |s: &TrackedServer| now.since(s.presence_since) <= self.options.outage_grace;
+        let grace = self.options.outage_grace;
+        let recent = |s: &TrackedServer| now.since(s.presence_since) <= grace;
         let lapsed = |s: &TrackedServer| {
             s.presence == Presence::Ended
                 && recent(s)
@@ -307,12 +337,19 @@
                     s.presence_since.since(outage) <= self.options.outage_grace
                 })
         };
-        let preferred: Vec<&TrackedServer> =
-            servers().filter(|s| s.presence == Presence::Ready || lapsed(s)).collect();
+        let stays = |s: &TrackedServer| self.leaving.since(&s.registration).is_none();
+        let preferred: Vec<&TrackedServer> = servers()
+            .filter(|s| (s.presence == Presence::Ready || lapsed(s)) && stays(s))
+            .collect();
         if !preferred.is_empty() {
             return preferred;
         }
-        servers().filter(|s| recent(s)).collect()
+        // A record of the store that comes after the response does not extend the time.
+        let may_still_serve = |s: &TrackedServer| match self.leaving.since(&s.registration) {
+            Some(since) => now.since(since) <= grace,
+            None => recent(s),
+        };
+        servers().filter(|s| may_still_serve(s)).collect()
     }
 
     /// Counts a request sent to a server.
@@ -406,7 +443,9 @@
     /// Returns the ready servers with a failure probability of 0.3 or more, with that probability.
     pub fn suspects(&self, now: Timestamp) -> Vec<(ServerId, f64)> {
         let options = &self.options.health;
-        let servers = self.servers.iter().filter(|(_, s)| s.presence == Presence::Ready);
+        let stays = |s: &TrackedServer| self.leaving.since(&s.registration).is_none();
+        let servers =
+            self.servers.iter().filter(|(_, s)| s.presence == Presence::Ready && stays(s));
         let estimates =
             servers.map(|(id, s)| (id.clone(), s.shared_health.failing_probability(options, now)));
         estimates.filter(|(_, failing)| *failing >= SUSPECT_FAILING).collect()
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -242,7 +242,10 @@
                 if why == NotRunReason::Unreachable {
                     self.count_unreachable_server(choice);
                 }
-                if matches!(why, NotRunReason::Unreachable | NotRunReason::Unsent) {
+                if matches!(
+                    why,
+                    NotRunReason::Unreachable | NotRunReason::Unsent | NotRunReason::Left
+                ) {
                     state.arrivals -= 1;
                 }
                 // Of the sends that did not run, only a refusal by the server counts towards the route's limit.
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -15,6 +15,8 @@
     pub not_run: HeaderName,
     /// The server's signature of its response. A success without it is not passed on.
     pub signature: HeaderName,
+    /// Marks all responses of a server that leaves and wants no new work.
+    pub leaving: HeaderName,
 }
 
 impl Default for HeaderNames {
@@ -25,6 +27,7 @@
             target: HeaderName::from_static("redwing-server"),
             not_run: HeaderName::from_static("redwing-shed"),
             signature: HeaderName::from_static("redwing-signature"),
+            leaving: HeaderName::from_static("redwing-leaving"),
         }
     }
 }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -2,7 +2,7 @@
 
 use crate::{pool::ServerConnection, shared::Shared};
 use redwingtrestle_core::{
-    process::{health_estimate::Observation, registration::ServerId},
+    process::{health_estimate::Observation, registration::ServerId, start_marks::ServerStart},
     time::Timestamp,
 };
 use std::sync::Arc;
@@ -12,6 +12,8 @@
 pub struct InFlightSend {
     shared: Arc<Shared>,
     id: ServerId,
+    /// The start of the server that the request goes to, unless the server was removed after the choice.
+    start: Option<ServerStart>,
     attempt: Arc<str>,
     sent_at: Timestamp,
     is_slow: bool,
@@ -20,10 +22,14 @@
 impl InFlightSend {
     /// Counts a new send to the server `id`.
     pub fn start(shared: &Arc<Shared>, id: &ServerId, attempt: &Arc<str>) -> Self {
-        shared.fleet().registry.record_send(shared.now(), id);
+        let mut fleet = shared.fleet();
+        fleet.registry.record_send(shared.now(), id);
+        let start = fleet.registry.server(id).map(|s| ServerStart::from(s.registration()));
+        drop(fleet);
         InFlightSend {
             shared: shared.clone(),
             id: id.clone(),
+            start,
             attempt: attempt.clone(),
             sent_at: shared.now(),
             is_slow: false,
@@ -49,6 +55,22 @@
         }
     }
 
+    /// Takes the server out of use because its response says that it leaves.
+    pub fn record_leaving(&self) {
+        let Some(start) = &self.start else { return };
+        let is_new = self.shared.fleet().registry.mark_leaving(self.shared.now(), start);
+        self.shared.pool.close_idle(&self.id);
+        if is_new {
+            log::info!(target: "servers", server = self.server(), attempt = self.attempt(), source = "response";
+                "a server says that it leaves and gets no more requests");
+        }
+    }
+
+    /// Returns whether the server left too long ago to get this request.
+    pub fn has_server_left(&self) -> bool {
+        self.shared.fleet().registry.has_left(self.shared.now(), &self.id)
+    }
+
     /// Removes the server because its address now belongs to another one.
     pub fn remove_displaced_server(&self) {
         log::info!(target: "servers", server = self.server(), attempt = self.attempt();
@@ -100,8 +122,12 @@
 }
 
 impl ConnectionReturn {
-    /// Puts the connection back into the pool once it is ready for another request.
+    /// Puts the connection back into the pool once it is ready for another request. One to a server that leaves is
+    /// closed instead.
     pub async fn put_back(self, connection: ServerConnection) {
+        if self.shared.fleet().registry.is_leaving(&self.id) {
+            return;
+        }
         let now = self.shared.now();
         self.shared.pool.put_back(self.id, connection, now).await;
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod reply;
 pub mod request;
 pub mod saved_state;
+mod server_notice;
 pub mod server_send;
 pub mod settings;
 pub mod shared;
--- /dev/null
+++ b/crates/gateway/src/server_notice.rs
@@ -0,0 +1,18 @@
+//! What a server's response says about the server itself, beside the response to the request.
+
+use crate::{header_names::HeaderNames, in_flight::InFlightSend};
+use hyper::{http::response::Parts, StatusCode};
+
+/// Records what the head of a response says about its server.
+///
+/// A response of another attempt, or of another server at the address, says nothing about this one.
+pub(crate) fn record(head: &Parts, header_names: &HeaderNames, in_flight: &InFlightSend) {
+    let attempt = head.headers.get(&header_names.attempt);
+    let is_own = attempt.is_some_and(|id| id.as_bytes() == in_flight.attempt().as_bytes());
+    if !is_own || head.status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    if head.headers.contains_key(&header_names.leaving) {
+        in_flight.record_leaving();
+    }
+}
--- a/crates/gateway/src/server_send.rs
+++ b/crates/gateway/src/server_send.rs
@@ -8,6 +8,7 @@
     pool::{keep_alive_timeout, ServerConnection},
     prefixed_body::PrefixedBody,
     reply::StreamedResponse,
+    server_notice,
     shared::Shared,
 };
 use bytes::{Bytes, BytesMut};
@@ -50,6 +51,8 @@
     Shed,
     /// The address now belongs to another server.
     Misdirected,
+    /// The server left after it had been chosen, and the request was not sent.
+    Left,
 }
 
 /// The body of a server's response.
@@ -104,6 +107,9 @@
             return SendResult::NotRun(NotRunReason::Unreachable);
         }
     };
+    if in_flight.has_server_left() {
+        return SendResult::NotRun(NotRunReason::Left);
+    }
     let was_reused = connection.was_used;
     match send_request(shared, choice, request, body, deadline, connection, &mut in_flight).await {
         Err(ExchangeError::Unsent) if was_reused && retry_body.is_some() => {
@@ -112,6 +118,9 @@
                 in_flight.observe(Observation::Unreachable);
                 return SendResult::NotRun(NotRunReason::Unreachable);
             };
+            if in_flight.has_server_left() {
+                return SendResult::NotRun(NotRunReason::Left);
+            }
             let body = retry_body.unwrap_or_default();
             let result =
                 send_request(shared, choice, request, body, deadline, connection, &mut in_flight)
@@ -251,6 +260,7 @@
     };
     let (head, body) = response.into_parts();
     let header_names = &shared.header_names;
+    server_notice::record(&head, header_names, &in_flight);
     if head.headers.contains_key(&header_names.not_run) && !head.status.is_success() {
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         return handle_refusal(in_flight, is_misdirected, body, connection);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -147,6 +147,14 @@
     NeverRespond,
     /// Begins a response of two megabytes, and breaks it off.
     TruncateLongBody,
+    /// Responds with this status and says that the server leaves.
+    Leave(u16),
+    /// Refuses before running, and says that the server leaves.
+    LeaveAndShed,
+    /// Responds with the id of another attempt and says that the server leaves.
+    LeaveForeignId,
+    /// Responds with a megabyte and says that the server leaves.
+    LeaveWithLongBody,
 }
 
 /// `ReceivedRequest` is a request as a backend server received it.
@@ -275,6 +283,14 @@
                 *closed_early.lock().unwrap() += 1;
                 return;
             }
+            Behaviour::Leave(status) => leaving(status, &id, ""),
+            Behaviour::LeaveAndShed => leaving(503, &id, "").replacen(
+                "content-length",
+                "redwing-shed: 1\r\ncontent-length",
+                1,
+            ),
+            Behaviour::LeaveForeignId => leaving(200, "another-attempt", ""),
+            Behaviour::LeaveWithLongBody => leaving(200, &id, &"x".repeat(1_000_000)),
             Behaviour::TruncateLongBody => {
                 let head = format!(
                     "HTTP/1.1 200 OK\r\nredwing-request-id: {id}\r\nredwing-signature: s\r\ncontent-length: 2000000\r\n\r\n"
@@ -290,6 +306,14 @@
     }
 }
 
+/// Returns a response of a server that leaves.
+fn leaving(status: u16, id: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} X\r\nredwing-request-id: {id}\r\nredwing-signature: s\r\nredwing-leaving: 1\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
 /// Returns the value of a header in a lower-case head, or an empty string.
 pub(crate) fn header(head: &str, name: &str) -> String {
     let prefix = format!("{name}: ");
--- a/crates/node/tests/soak/checks.rs
+++ b/crates/node/tests/soak/checks.rs
@@ -4,7 +4,11 @@
     record::{Arrival, Component, Outcome, Record, SentRequest},
     server::response_body,
 };
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    net::IpAddr,
+    time::{Duration, Instant},
+};
 
 /// A new configuration or a server's draining is in force within this time.
 pub const IN_FORCE_BOUND: Duration = Duration::from_millis(2_000);
@@ -21,6 +25,10 @@
 /// Tolerance for responses after the deadline, as the test shares the machine with other processes.
 const LATE_TOLERANCE: Duration = Duration::from_millis(700);
 
+/// After a node has passed on a response that says that its server leaves, later requests do not reach that server
+/// from this node.
+const LEAVING_BOUND: Duration = Duration::from_millis(2_000);
+
 /// The deadline that callers declare for their requests.
 const DEADLINE: Duration = Duration::from_millis(2_500);
 
@@ -45,7 +53,9 @@
         .iter()
         .map(|id| format!("{id} reached a server, but no caller sent it"))
         .collect();
-    for (id, request, arrivals) in record.requests() {
+    let requests = record.requests();
+    found.extend(reached_after_leaving(record, &requests));
+    for (id, request, arrivals) in requests {
         let faults = [
             run_twice(&request, &arrivals),
             run_despite_refusal(&request, &arrivals),
@@ -222,6 +232,43 @@
     Some(format!("reached {}, which was draining", arrival.server))
 }
 
+/// A request with its id and its arrivals.
+type RecordedRequest = (String, SentRequest, Vec<Arrival>);
+
+/// A restart or a freeze of the node since it passed on the response excuses it.
+fn reached_after_leaving(record: &Record, requests: &[RecordedRequest]) -> Vec<String> {
+    let mut known: HashMap<(IpAddr, &str), Instant> = HashMap::new();
+    for (_, request, arrivals) in requests {
+        let Some(end) = &request.end else { continue };
+        let Outcome::Response(_, Some(signature), _) = &end.outcome else { continue };
+        let is_passed_on =
+            |a: &&Arrival| a.says_leaving && a.response.as_ref().is_some_and(|r| r.1 == *signature);
+        for arrival in arrivals.iter().filter(is_passed_on) {
+            let at = known.entry((request.node, &*arrival.server)).or_insert(end.at);
+            *at = end.at.min(*at);
+        }
+    }
+    let mut found = Vec::new();
+    for (id, request, arrivals) in requests {
+        for arrival in arrivals {
+            let Some(at) = known.get(&(request.node, &*arrival.server)) else { continue };
+            let is_late = request.sent > *at + LEAVING_BOUND;
+            let node = [Component::Node(request.node)];
+            if is_late
+                && !record.was_restarted(request.node, *at, arrival.at)
+                && record.was_undisturbed(&node, *at, arrival.at, Duration::ZERO)
+            {
+                let since = request.sent.duration_since(*at);
+                found.push(format!(
+                    "{id} {}: reached {} although it was sent {since:?} after the node passed on that it leaves",
+                    request.path, arrival.server
+                ));
+            }
+        }
+    }
+    found
+}
+
 /// Returns the served share of the requests sent after `from`, and their number, without those whose caller
 /// disconnected.
 pub fn served_since(record: &Record, from: Instant) -> (f64, usize) {
--- a/crates/node/tests/soak/events.rs
+++ b/crates/node/tests/soak/events.rs
@@ -21,6 +21,9 @@
 /// A draining server continues to serve for at least this long after its registration says so.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(2_600);
 
+/// A leaving server says so in its responses for so long before its registration does, in milliseconds.
+const UNREGISTERED_LEAVING_MS: std::ops::Range<u64> = 0..4_000;
+
 /// A kind of change or fault. Planned changes come first. Seeds replay the same events only if the order stays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
 pub enum Event {
@@ -123,6 +126,7 @@
                 }
                 if node.has_ended() {
                     node.start();
+                    self.record.add_restart(node.ip);
                     return;
                 }
                 if started.elapsed() > timeout {
@@ -144,6 +148,7 @@
                         node.start_number, node.name
                     ));
                     node.start();
+                    self.record.add_restart(node.ip);
                 }
             }
             tokio::time::sleep(Duration::from_millis(100)).await;
@@ -284,9 +289,11 @@
         set(Behaviour::Serve);
     }
 
-    /// Registers a server as draining and stops it some time later.
+    /// Lets a server say that it leaves, registers it as draining some time later, and then stops it.
     async fn drain_server(&self) {
         let Some(mut server) = self.remove_server() else { return };
+        server.leave();
+        tokio::time::sleep(self.random_ms(UNREGISTERED_LEAVING_MS)).await;
         server.registration.state = RegistrationState::Draining;
         server.registration.report += 1;
         self.store.register(&server.registration);
--- a/crates/node/tests/soak/record.rs
+++ b/crates/node/tests/soak/record.rs
@@ -50,6 +50,8 @@
     pub was_run: bool,
     /// The status and signature of the response; `None` without a complete response.
     pub response: Option<(u16, String)>,
+    /// Whether the response says that the server leaves.
+    pub says_leaving: bool,
     /// When the work ended, also if the connection closed before that.
     pub ended: Option<Instant>,
 }
@@ -71,6 +73,8 @@
     arrivals: HashMap<String, Vec<Arrival>>,
     /// The disturbed components, each with the start and end of the disturbance.
     disturbances: Vec<(Component, Instant, Option<Instant>)>,
+    /// The nodes whose process was started again, with the time.
+    restarts: Vec<(IpAddr, Instant)>,
 }
 
 /// The record that all callers and backend servers of a run share.
@@ -139,6 +143,16 @@
         })
     }
 
+    /// Records that the process of a node was started again.
+    pub fn add_restart(&self, node: IpAddr) {
+        self.lock().restarts.push((node, Instant::now()));
+    }
+
+    /// Returns whether the process of a node was started again between `from` and `to`.
+    pub fn was_restarted(&self, node: IpAddr, from: Instant, to: Instant) -> bool {
+        self.lock().restarts.iter().any(|(ip, at)| *ip == node && *at >= from && *at <= to)
+    }
+
     /// Returns all requests with their arrivals.
     pub fn requests(&self) -> Vec<(String, SentRequest, Vec<Arrival>)> {
         let inner = self.lock();
--- a/crates/node/tests/soak/server.rs
+++ b/crates/node/tests/soak/server.rs
@@ -10,7 +10,10 @@
 };
 use redwingtrestle_platform::header_names::header_names;
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex, PoisonError,
+    },
     time::{Duration, Instant},
 };
 use tokio::{
@@ -54,6 +57,7 @@
     pub registration: Registration,
     pub link: Link,
     behaviour: Arc<Mutex<Behaviour>>,
+    is_leaving: Arc<AtomicBool>,
     _listener: Task,
 }
 
@@ -63,6 +67,7 @@
     id: String,
     service: &'static str,
     behaviour: Arc<Mutex<Behaviour>>,
+    is_leaving: Arc<AtomicBool>,
     record: Arc<Record>,
 }
 
@@ -84,7 +89,14 @@
             None => Link::start(listen_addr).await.expect("a link"),
         };
         let behaviour = Arc::new(Mutex::new(Behaviour::Serve));
-        let identity = Identity { id: id.clone(), service, behaviour: behaviour.clone(), record };
+        let is_leaving: Arc<AtomicBool> = Arc::default();
+        let identity = Identity {
+            id: id.clone(),
+            service,
+            behaviour: behaviour.clone(),
+            is_leaving: is_leaving.clone(),
+            record,
+        };
         let listener = tokio::spawn(async move {
             let mut connections = tokio::task::JoinSet::new();
             while let Ok((socket, _)) = listener.accept().await {
@@ -102,13 +114,18 @@
             started: 1,
             report: 1,
         };
-        Server { registration, link, behaviour, _listener: Task(listener) }
+        Server { registration, link, behaviour, is_leaving, _listener: Task(listener) }
     }
 
     pub fn set_behaviour(&self, behaviour: Behaviour) {
         *self.behaviour.lock().unwrap_or_else(PoisonError::into_inner) = behaviour;
     }
 
+    /// Makes the server say in all its responses that it leaves.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
     /// Stops the server with all its connections and returns its link for another server.
     pub fn stop(self) -> Link {
         self.link.set_target(None);
@@ -173,6 +190,8 @@
     behaviour: Behaviour,
 ) -> bool {
     let names = header_names();
+    let says_leaving = identity.is_leaving.load(Ordering::SeqCst);
+    let notice = if says_leaving { format!("{}: 1\r\n", names.leaving) } else { String::new() };
     let is_for_this_server = request.target.is_empty() || request.target == identity.id;
     let was_run = is_for_this_server && behaviour != Behaviour::Shed;
     let number = identity.record.add_arrival(
@@ -185,13 +204,16 @@
             body: request.body.clone(),
             was_run,
             response: None,
+            says_leaving,
             ended: None,
         },
     );
     if !was_run {
         let status = if is_for_this_server { 503 } else { 421 };
-        let text =
-            format!("HTTP/1.1 {status} X\r\n{}: 1\r\nContent-Length: 0\r\n\r\n", names.not_run);
+        let text = format!(
+            "HTTP/1.1 {status} X\r\n{}: 1\r\n{}: {}\r\n{notice}Content-Length: 0\r\n\r\n",
+            names.not_run, names.attempt, request.id
+        );
         return socket.write_all(text.as_bytes()).await.is_ok();
     }
     let signature = format!("{}.{number}.{}", identity.id, identity.service);
@@ -218,7 +240,7 @@
         _ => 200,
     };
     let body = response_body(&request.id, &signature, identity.service);
-    let mut response = encode_response(status, &request.id, &signature, &body);
+    let mut response = encode_response(status, &request.id, &signature, &notice, &body);
     match behaviour {
         Behaviour::CloseAfterRun => return false,
         Behaviour::TruncateResponse => {
@@ -226,9 +248,11 @@
             let _ = socket.write_all(&response[..response.len() - body.len() / 2]).await;
             return false;
         }
-        Behaviour::WrongId => response = encode_response(200, "another", &signature, b"not yours"),
+        Behaviour::WrongId => {
+            response = encode_response(200, "another", &signature, "", b"not yours");
+        }
         Behaviour::ExtraResponse => {
-            response.extend(encode_response(200, "another", &signature, b"not yours"));
+            response.extend(encode_response(200, "another", &signature, "", b"not yours"));
         }
         _ => {}
     }
@@ -238,10 +262,10 @@
     socket.write_all(&response).await.is_ok()
 }
 
-fn encode_response(status: u16, id: &str, signature: &str, body: &[u8]) -> Vec<u8> {
+fn encode_response(status: u16, id: &str, signature: &str, notice: &str, body: &[u8]) -> Vec<u8> {
     let names = header_names();
     let head = format!(
-        "HTTP/1.1 {status} X\r\n{}: {id}\r\n{}: {signature}\r\nContent-Length: {}\r\n\r\n",
+        "HTTP/1.1 {status} X\r\n{}: {id}\r\n{}: {signature}\r\n{notice}Content-Length: {}\r\n\r\n",
         names.attempt,
         names.signature,
         body.len()
