Give a server the pause that it asks for when it turns a request away

Callers saw: requests went on to servers that had just asked by `Retry-After` for a pause, and were refused again; with all servers of a service pausing they waited for a second try that was refused as well.

Cause: the header of a server's 503 was not read.

Change: a 503 of the attempt with `Retry-After`, marked as not run or not, gives that start of the server a pause on this node: so long and up to a tenth more at random, 120 s at most. The registry leaves pausing servers out of the usable ones, so first sends, retries, hedges and the floor respect it. While all servers of a service pause, a request is refused at once, with the time until the first of them accepts work again (0.5 to 10 s).

Evidence: without the change, of crates/gateway/tests/server_pause.rs request_is_refused_at_once_while_all_servers_pause failed (4 requests reached the server in place of 1) and server_that_asks_for_a_pause_gets_no_request failed (8 requests reached the server 16 times in place of 0 times); server_gets_work_after_its_pause passed. The tests of the core use the new call and do not compile before.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -20,6 +20,7 @@
 pub mod readmission;
 pub mod recent_ranks;
 pub mod registration;
+pub mod server_pause;
 pub mod server_registry;
 pub mod service_leader;
 pub mod service_outcomes;
--- a/crates/core/src/process/server_registry.rs
+++ b/crates/core/src/process/server_registry.rs
@@ -8,6 +8,7 @@
         leaving_servers::LeavingServers,
         recent_ranks::RecentRanks,
         registration::{Registration, RegistrationState, ServerId},
+        server_pause::ServerPauses,
         service_outcomes::{OutcomeCounts, ServiceOutcomes},
         start_marks::ServerStart,
         tracked_server::{Counts, Presence, ServerReport, TrackedServer},
@@ -89,6 +90,7 @@
     /// Saved estimates of servers that have not registered since the restart.
     restored: HashMap<ServerId, HealthEstimate>,
     leaving: LeavingServers,
+    pauses: ServerPauses,
     last_store_outage: Option<Timestamp>,
     /// Ended registrations below this position may have been removed.
     pruned_to: u64,
@@ -109,6 +111,7 @@
             unreported: Vec::new(),
             restored: HashMap::new(),
             leaving: LeavingServers::default(),
+            pauses: ServerPauses::default(),
             last_store_outage: None,
             pruned_to: 0,
         }
@@ -292,6 +295,7 @@
             self.pruned_to = self.pruned_to.max(position);
             self.remove(&id);
         }
+        self.pauses.tick(now);
         let servers = &self.servers;
         self.leaving.tick(now, |start| {
             servers.get(&start.id).is_some_and(|s| ServerStart::from(&s.registration) == *start)
@@ -319,12 +323,43 @@
         self.leaving.since(&self.servers.get(id)?.registration)
     }
 
-    /// Returns the servers of a service that may get new work.
+    /// Records that a start of a server turned a request away and asked for a pause, and returns its end. `draw`, from
+    /// 0 to 1, spreads the ends over the nodes.
+    pub fn record_pause(
+        &mut self,
+        now: Timestamp,
+        start: &ServerStart,
+        pause: Span,
+        draw: f64,
+    ) -> Timestamp {
+        self.pauses.record(now, start, pause, draw)
+    }
+
+    /// Returns how long it takes until the first server of a service accepts work again, or `None` unless all of them
+    /// pause.
+    pub fn pause_left(&self, now: Timestamp, service: &ServiceName) -> Option<Span> {
+        let mut first: Option<Timestamp> = None;
+        for server in self.in_service(now, service) {
+            let end = self.pauses.end(now, &server.registration)?;
+            first = Some(first.map_or(end, |known| known.min(end)));
+        }
+        first.map(|end| end.since(now))
+    }
+
+    /// Returns the servers of a service that may get new work: those in service that do not pause. A service whose
+    /// servers all pause has none.
+    pub fn usable(&self, now: Timestamp, service: &ServiceName) -> Vec<&TrackedServer> {
+        let mut servers = self.in_service(now, service);
+        servers.retain(|s| self.pauses.end(now, &s.registration).is_none());
+        servers
+    }
+
+    /// Returns the servers of a service that are in service, also those that pause.
     ///
     /// A server whose registration ended recently around an outage of the store is still used, because the
     /// registration may only have lapsed. If the service has no other server, the same applies to every server that
     /// stopped accepting work recently, or said recently in a response that it leaves.
-    pub fn usable(&self, now: Timestamp, service: &ServiceName) -> Vec<&TrackedServer> {
+    fn in_service(&self, now: Timestamp, service: &ServiceName) -> Vec<&TrackedServer> {
         let ids = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
         let servers = || ids.iter().filter_map(|id| self.servers.get(id));
         let grace = self.options.outage_grace;
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -298,6 +298,9 @@
             if let Some(choice) = self.pick(&state.tried, failure_loss, state.max_response_time) {
                 return Some(choice);
             }
+            if self.all_servers_pause() {
+                return None;
+            }
             // After the pause, a server that refused the request may be tried again.
             if state.was_shed && has_paused {
                 return self.pick(&[], failure_loss, state.max_response_time);
@@ -366,6 +369,12 @@
         })
     }
 
+    /// Returns whether no server of the service accepts work for a while, so that waiting for one is in vain.
+    fn all_servers_pause(&self) -> bool {
+        let now = self.shared.now();
+        self.shared.fleet().registry.pause_left(now, &self.outgoing.service).is_some()
+    }
+
     /// Returns whether the service has any usable server, even if none can take this request.
     fn has_servers(&self) -> bool {
         let now = self.shared.now();
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -1,9 +1,10 @@
 //! Accounting of one send in flight: the load that it adds, and the health observations that it yields.
 
 use crate::{pool::ServerConnection, shared::Shared};
+use rand::Rng;
 use redwingtrestle_core::{
     process::{health_estimate::Observation, registration::ServerId, start_marks::ServerStart},
-    time::Timestamp,
+    time::{Span, Timestamp},
 };
 use std::sync::Arc;
 
@@ -66,6 +67,20 @@
         }
     }
 
+    /// Gives the server the pause that it asked for.
+    pub fn record_pause(&self, pause: Span) {
+        let Some(start) = &self.start else { return };
+        let now = self.shared.now();
+        let until = {
+            let mut fleet = self.shared.fleet();
+            let draw = fleet.rng.random();
+            fleet.registry.record_pause(now, start, pause, draw)
+        };
+        log::info!(target: "servers", server = self.server(), attempt = self.attempt(),
+            asked_ms = pause.as_millis(), pause_ms = until.since(now).as_millis();
+            "a server turned a request away and gets no more until its pause ends");
+    }
+
     /// Returns whether the server left too long ago to get this request.
     pub fn has_server_left(&self) -> bool {
         self.shared.fleet().registry.has_left(self.shared.now(), &self.id)
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -17,12 +17,14 @@
 use rand::Rng;
 use redwingtrestle_core::{
     codes::{Outcome, ResultCode},
+    ids::ServiceName,
+    process::server_pause,
     time::{Span, Timestamp},
     version::routing_config::{RepeatPolicy, RoutingConfig},
 };
 use std::sync::Arc;
 
-/// The `Retry-After` of a refusal.
+/// The `Retry-After` of a refusal, unless all servers of the service pause.
 const RETRY_AFTER: Span = Span::from_millis(500);
 
 /// How long a request waits for the first configuration of a process. When all nodes restart together, callers connect
@@ -44,8 +46,12 @@
         .unwrap_or_default()
         .into();
     let is_head = request.method() == Method::HEAD;
+    let mut service = None;
     let result = match prepare(&shared, request, started_at, &attempt).await {
-        Ok((routed, body)) => forward_or_detach(&shared, routed, body).await,
+        Ok((routed, body)) => {
+            service = Some(routed.outgoing.service.clone());
+            forward_or_detach(&shared, routed, body).await
+        }
         Err(code) => {
             log::info!(target: "requests", attempt = &*attempt, code = code.number(),
                 version = shared.routing_config.load().as_ref().map_or(0, |c| c.version());
@@ -62,8 +68,8 @@
             reply::from_server(status, headers, body, is_head)
         }
         RequestResult::Failure(code) => {
-            let wait =
-                (code.outcome() == Outcome::NotRun && code.status() == 503).then_some(RETRY_AFTER);
+            let wait = (code.outcome() == Outcome::NotRun && code.status() == 503)
+                .then(|| retry_after(&shared, service.as_ref()));
             reply::refusal(code, wait)
         }
     };
@@ -73,6 +79,13 @@
     response.map(|body| body.with_guards(busy, open_guard))
 }
 
+/// Returns what a refused caller is told to wait. While all servers of the service pause, an earlier return is in vain.
+fn retry_after(shared: &Shared, service: Option<&ServiceName>) -> Span {
+    let mut fleet = shared.fleet();
+    let left = service.and_then(|service| fleet.registry.pause_left(shared.now(), service));
+    left.map_or(RETRY_AFTER, |left| server_pause::retry_after(left, fleet.rng.random()))
+}
+
 /// Determines the route, service and deadline of a request, and reads its body.
 async fn prepare(
     shared: &Arc<Shared>,
--- a/crates/gateway/src/server_notice.rs
+++ b/crates/gateway/src/server_notice.rs
@@ -1,7 +1,8 @@
 //! What a server's response says about the server itself, beside the response to the request.
 
 use crate::{header_names::HeaderNames, in_flight::InFlightSend};
-use hyper::{http::response::Parts, StatusCode};
+use hyper::{header::RETRY_AFTER, http::response::Parts, StatusCode};
+use redwingtrestle_core::process::server_pause;
 
 /// Records what the head of a response says about its server.
 ///
@@ -15,4 +16,11 @@
     if head.headers.contains_key(&header_names.leaving) {
         in_flight.record_leaving();
     }
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
+    let value = head.headers.get(RETRY_AFTER).and_then(|value| value.to_str().ok());
+    if let Some(pause) = value.and_then(server_pause::parse_pause) {
+        in_flight.record_pause(pause);
+    }
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -153,6 +153,10 @@
     LeaveAndShed,
     /// Responds with the id of another attempt and says that the server leaves.
     LeaveForeignId,
+    /// Refuses before running, and asks for a pause of this many milliseconds.
+    Pause(u64),
+    /// Responds with 503 without the "not run" header, and asks for a pause of this many milliseconds.
+    PauseUnmarked(u64),
     /// Responds with a megabyte and says that the server leaves.
     LeaveWithLongBody,
 }
@@ -289,6 +293,8 @@
                 "redwing-shed: 1\r\ncontent-length",
                 1,
             ),
+            Behaviour::Pause(ms) => pausing(ms, &id, "redwing-shed: 1\r\n"),
+            Behaviour::PauseUnmarked(ms) => pausing(ms, &id, ""),
             Behaviour::LeaveForeignId => leaving(200, "another-attempt", ""),
             Behaviour::LeaveWithLongBody => leaving(200, &id, &"x".repeat(1_000_000)),
             Behaviour::TruncateLongBody => {
@@ -306,6 +312,14 @@
     }
 }
 
+/// Returns a response of a server that asks for a pause.
+fn pausing(ms: u64, id: &str, mark: &str) -> String {
+    let seconds = ms as f64 / 1_000.0;
+    format!(
+        "HTTP/1.1 503 X\r\nredwing-request-id: {id}\r\n{mark}retry-after: {seconds}\r\ncontent-length: 0\r\n\r\n"
+    )
+}
+
 /// Returns a response of a server that leaves.
 fn leaving(status: u16, id: &str, body: &str) -> String {
     format!(
