--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -252,7 +252,10 @@
                 if why == NotRunReason::Unreachable {
                     self.count_unreachable_server(choice);
                 }
-                if matches!(why, NotRunReason::Unreachable | NotRunReason::Unsent) {
+                if matches!(
+                    why,
+                    NotRunReason::Unreachable | NotRunReason::Unsent | NotRunReason::Left
+                ) {
                     state.arrivals -= 1;
                 }
                 // Of the sends that did not run, only a refusal by the server counts towards the route's limit.
@@ -305,6 +308,9 @@
             if let Some(choice) = self.pick(&state.tried, failure_loss, state.max_response_time) {
                 return Some(choice);
             }
+            if self.all_servers_pause() {
+                return None;
+            }
             // After the pause, a server that refused the request may be tried again.
             if state.was_shed && has_paused {
                 return self.pick(&[], failure_loss, state.max_response_time);
@@ -382,6 +388,12 @@
         })
     }
 
+    /// Returns whether no server of the service accepts work for a while, so that waiting for one is in vain.
+    fn all_servers_pause(&self) -> bool {
+        let now = self.shared.now();
+        self.shared.fleet().registry.pause_left(now, &self.outgoing.service).is_some()
+    }
+
     /// Returns whether the service has any usable server, even if none can take this request.
     fn has_servers(&self) -> bool {
         let now = self.shared.now();
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -152,6 +152,18 @@
     TruncateLongBody,
     /// Responds after this many milliseconds with a body of [`LARGE_BODY`] bytes.
     LargeBody(u64),
+    /// Responds with this status and says that the server leaves.
+    Leave(u16),
+    /// Refuses before running, and says that the server leaves.
+    LeaveAndShed,
+    /// Responds with the id of another attempt and says that the server leaves.
+    LeaveForeignId,
+    /// Refuses before running, and asks for a pause of this many milliseconds.
+    Pause(u64),
+    /// Responds with 503 without the "not run" header, and asks for a pause of this many milliseconds.
+    PauseUnmarked(u64),
+    /// Responds with a megabyte and says that the server leaves.
+    LeaveWithLongBody,
 }
 
 /// The size of the body of [`Behaviour::LargeBody`], in bytes. A gateway buffers all of it.
@@ -291,6 +303,16 @@
                 *closed_early.lock().unwrap() += 1;
                 return;
             }
+            Behaviour::Leave(status) => leaving(status, &id, ""),
+            Behaviour::LeaveAndShed => leaving(503, &id, "").replacen(
+                "content-length",
+                "redwing-shed: 1\r\ncontent-length",
+                1,
+            ),
+            Behaviour::Pause(ms) => pausing(ms, &id, "redwing-shed: 1\r\n"),
+            Behaviour::PauseUnmarked(ms) => pausing(ms, &id, ""),
+            Behaviour::LeaveForeignId => leaving(200, "another-attempt", ""),
+            Behaviour::LeaveWithLongBody => leaving(200, &id, &"x".repeat(1_000_000)),
             Behaviour::TruncateLongBody => {
                 let head = format!(
                     "HTTP/1.1 200 OK\r\nredwing-request-id: {id}\r\nredwing-signature: s\r\ncontent-length: 2000000\r\n\r\n"
@@ -306,6 +328,22 @@
     }
 }
 
+/// Returns a response of a server that asks for a pause.
+fn pausing(ms: u64, id: &str, mark: &str) -> String {
+    let seconds = ms as f64 / 1_000.0;
+    format!(
+        "HTTP/1.1 503 X\r\nredwing-request-id: {id}\r\n{mark}retry-after: {seconds}\r\ncontent-length: 0\r\n\r\n"
+    )
+}
+
+/// Returns a response of a server that leaves.
+fn leaving(status: u16, id: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} X\r\nredwing-request-id: {id}\r\nredwing-signature: s\r\nredwing-leaving: 1\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
 /// Returns the value of a header in a lower-case head, or an empty string.
 pub(crate) fn header(head: &str, name: &str) -> String {
     let prefix = format!("{name}: ");
--- a/crates/node/tests/soak/server.rs
+++ b/crates/node/tests/soak/server.rs
@@ -10,7 +10,10 @@
 };
 use redwingtrestle_platform::header_names::header_names;
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex, PoisonError,
+    },
     time::{Duration, Instant},
 };
 use tokio::{
@@ -58,6 +61,7 @@
     pub registration: Registration,
     pub link: Link,
     behaviour: Arc<Mutex<Behaviour>>,
+    is_leaving: Arc<AtomicBool>,
     _listener: Task,
 }
 
@@ -67,6 +71,7 @@
     id: String,
     service: &'static str,
     behaviour: Arc<Mutex<Behaviour>>,
+    is_leaving: Arc<AtomicBool>,
     record: Arc<Record>,
 }
 
@@ -88,7 +93,14 @@
             None => Link::start(listen_addr).await.expect("a link"),
         };
         let behaviour = Arc::new(Mutex::new(Behaviour::Serve));
-        let identity = Identity { id: id.clone(), service, behaviour: behaviour.clone(), record };
+        let is_leaving: Arc<AtomicBool> = Arc::default();
+        let identity = Identity {
+            id: id.clone(),
+            service,
+            behaviour: behaviour.clone(),
+            is_leaving: is_leaving.clone(),
+            record,
+        };
         let listener = tokio::spawn(async move {
             let mut connections = tokio::task::JoinSet::new();
             while let Ok((socket, _)) = listener.accept().await {
@@ -106,13 +118,18 @@
             started: 1,
             report: 1,
         };
-        Server { registration, link, behaviour, _listener: Task(listener) }
+        Server { registration, link, behaviour, is_leaving, _listener: Task(listener) }
     }
 
     pub fn set_behaviour(&self, behaviour: Behaviour) {
         *self.behaviour.lock().unwrap_or_else(PoisonError::into_inner) = behaviour;
     }
 
+    /// Makes the server say in all its responses that it leaves.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
     /// Stops the server with all its connections and returns its link for another server.
     pub fn stop(self) -> Link {
         self.link.set_target(None);
@@ -176,6 +193,9 @@
     request: &ReceivedRequest,
     behaviour: Behaviour,
 ) -> bool {
+    let says_leaving = identity.is_leaving.load(Ordering::SeqCst);
+    let notice =
+        if says_leaving { format!("{}: 1\r\n", header_names().leaving) } else { String::new() };
     let is_for_this_server = request.target.is_empty() || request.target == identity.id;
     let was_run = is_for_this_server && behaviour != Behaviour::Shed;
     let number = identity.record.add_arrival(
@@ -188,12 +208,13 @@
             body: request.body.clone(),
             was_run,
             response: None,
+            says_leaving,
             ended: None,
         },
     );
     if !was_run {
         let status = if is_for_this_server { 503 } else { 421 };
-        return socket.write_all(&encode_refusal(status, &request.id)).await.is_ok();
+        return socket.write_all(&encode_refusal(status, &request.id, &notice)).await.is_ok();
     }
     let signature = format!("{}.{number}.{}", identity.id, identity.service);
     let is_long = request.id.bytes().map(u32::from).sum::<u32>() % LONG_EACH == 0;
@@ -219,7 +240,7 @@
         _ => 200,
     };
     let body = response_body(&request.id, &signature, identity.service);
-    let mut response = encode_response(status, &request.id, &signature, &body);
+    let mut response = encode_response(status, &request.id, &signature, &notice, &body);
     match behaviour {
         Behaviour::CloseAfterRun => return false,
         Behaviour::TruncateResponse => {
@@ -234,11 +255,13 @@
             return false;
         }
         Behaviour::RepeatRefusal => {
-            response = [encode_refusal(503, "another"), response].concat();
+            response = [encode_refusal(503, "another", ""), response].concat();
+        }
+        Behaviour::WrongId => {
+            response = encode_response(200, "another", &signature, "", b"not yours");
         }
-        Behaviour::WrongId => response = encode_response(200, "another", &signature, b"not yours"),
         Behaviour::ExtraResponse => {
-            response.extend(encode_response(200, "another", &signature, b"not yours"));
+            response.extend(encode_response(200, "another", &signature, "", b"not yours"));
         }
         _ => {}
     }
@@ -248,17 +271,17 @@
     socket.write_all(&response).await.is_ok()
 }
 
-fn encode_refusal(status: u16, id: &str) -> Vec<u8> {
+fn encode_refusal(status: u16, id: &str, notice: &str) -> Vec<u8> {
     let names = header_names();
     let (not_run, attempt) = (names.not_run, names.attempt);
-    format!("HTTP/1.1 {status} X\r\n{not_run}: 1\r\n{attempt}: {id}\r\nContent-Length: 0\r\n\r\n")
-        .into_bytes()
+    let head = format!("HTTP/1.1 {status} X\r\n{not_run}: 1\r\n{attempt}: {id}\r\n");
+    format!("{head}{notice}Content-Length: 0\r\n\r\n").into_bytes()
 }
 
-fn encode_response(status: u16, id: &str, signature: &str, body: &[u8]) -> Vec<u8> {
+fn encode_response(status: u16, id: &str, signature: &str, notice: &str, body: &[u8]) -> Vec<u8> {
     let names = header_names();
     let head = format!(
-        "HTTP/1.1 {status} X\r\n{}: {id}\r\n{}: {signature}\r\nContent-Length: {}\r\n\r\n",
+        "HTTP/1.1 {status} X\r\n{}: {id}\r\n{}: {signature}\r\n{notice}Content-Length: {}\r\n\r\n",
         names.attempt,
         names.signature,
         body.len()
