--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -23,5 +23,6 @@
 pub mod service_leader;
 pub mod service_outcomes;
 pub mod slot_leases;
+pub mod stream_position;
 pub mod stream_watch;
 pub mod tracked_server;
--- a/crates/core/src/process/peer_table.rs
+++ b/crates/core/src/process/peer_table.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     ids::DataCentre,
-    process::fan_out::{FleetSize, MAX_FAILURE_BATCH, MAX_NEAR_BATCH},
+    process::{
+        fan_out::{FleetSize, MAX_FAILURE_BATCH, MAX_NEAR_BATCH},
+        stream_position::StreamPosition,
+    },
     time::{Span, Timestamp},
 };
 use rand::{seq::IteratorRandom, Rng};
@@ -32,8 +35,9 @@
     pub state: NodeState,
     /// The version of the node's configuration, 0 without one.
     pub config_version: u64,
-    /// The stream position up to which the node knows the server registrations, 0 without any.
-    pub registry_position: u64,
+    /// The stream position up to which the node knows the server registrations, the first one without
+    /// any.
+    pub registry_position: StreamPosition,
     /// Whether the store responds to the node.
     pub store_reachable: bool,
 }
@@ -313,7 +317,7 @@
         &self,
         now: Timestamp,
         config_version: u64,
-        registry_position: u64,
+        registry_position: StreamPosition,
         rng: &mut impl Rng,
     ) -> Option<SocketAddr> {
         let ahead = |s: &NodeStatus| {
--- a/crates/core/src/process/server_registry.rs
+++ b/crates/core/src/process/server_registry.rs
@@ -8,6 +8,7 @@
         recent_ranks::RecentRanks,
         registration::{Registration, RegistrationState, ServerId},
         service_outcomes::{OutcomeCounts, ServiceOutcomes},
+        stream_position::StreamPosition,
         tracked_server::{Counts, Presence, ServerReport, TrackedServer},
     },
     time::{Span, Timestamp},
@@ -27,6 +28,8 @@
     Ended,
     /// Another field of a known server changed.
     Updated,
+    /// A restored store returned an older record, which would bring a draining or ended server back.
+    Refused,
     /// The record is outdated or changes nothing.
     Nothing,
 }
@@ -68,7 +71,7 @@
 const PEER_PATH_WEIGHT: f64 = 0.5;
 
 /// A server's id, the position of its record in the stream, and its registration, `None` if the record ended it.
-pub type ServerRecord = (ServerId, u64, Option<Registration>);
+pub type ServerRecord = (ServerId, StreamPosition, Option<Registration>);
 
 /// All registered backend servers of all services.
 #[derive(Clone, Debug)]
@@ -88,7 +91,9 @@
     restored: HashMap<ServerId, HealthEstimate>,
     last_store_outage: Option<Timestamp>,
     /// Ended registrations below this position may have been removed.
-    pruned_to: u64,
+    pruned_to: StreamPosition,
+    /// The era of the newest snapshot. Records of earlier eras are outdated.
+    era: u64,
 }
 
 impl ServerRegistry {
@@ -106,7 +111,8 @@
             unreported: Vec::new(),
             restored: HashMap::new(),
             last_store_outage: None,
-            pruned_to: 0,
+            pruned_to: StreamPosition::default(),
+            era: 0,
         }
     }
 
@@ -121,14 +127,15 @@
     }
 
     /// Returns all current registrations with the positions of their records.
-    pub fn registrations(&self) -> Vec<(Registration, u64)> {
+    pub fn registrations(&self) -> Vec<(Registration, StreamPosition)> {
         let registered = self.servers.values().filter(|s| s.presence != Presence::Ended);
         registered.map(|s| (s.registration.clone(), s.position)).collect()
     }
 
-    /// Returns the records at or after `position`, or `None` if ended registrations since then were already removed.
-    pub fn changes_since(&self, position: u64) -> Option<Vec<ServerRecord>> {
-        if position < self.pruned_to {
+    /// Returns the records at or after `position`, or `None` if ended registrations since then were already removed or
+    /// `position` is of another era, whose offsets say nothing about the records of this one.
+    pub fn changes_since(&self, position: StreamPosition) -> Option<Vec<ServerRecord>> {
+        if position.era != self.era || position < self.pruned_to {
             return None;
         }
         let changed = self.servers.iter().filter(|(_, s)| s.position >= position);
@@ -147,29 +154,36 @@
     /// Applies the record at `position` to the server `id`; `None` ends the registration.
     ///
     /// A record of an earlier start, or an earlier report of the same start, changes nothing. A delayed report would
-    /// otherwise return a draining server to service.
+    /// otherwise return a draining server to service. After a restore of the store, the same report does not bring a
+    /// draining or ended server back either, as the record may be an old copy.
     pub fn apply_record(
         &mut self,
         now: Timestamp,
         id: &ServerId,
-        position: u64,
+        position: StreamPosition,
         registration: Option<Registration>,
     ) -> Change {
+        if position.era < self.era {
+            return Change::Nothing;
+        }
         let Some(registration) = registration else { return self.end(now, id, position) };
         let Some(server) = self.servers.get_mut(id) else {
             self.insert(now, position, registration);
             return Change::Joined;
         };
-        let old = &server.registration;
-        if position <= server.position || registration.started < old.started {
+        if position <= server.position {
             return Change::Nothing;
         }
-        let restarted = registration.started > old.started;
-        if !restarted && registration.report < old.report {
+        if !server.accepts(&registration, position.era) {
+            let is_restored = position.era > server.report_era;
             server.position = position;
-            return Change::Nothing;
+            let would_return = server.presence != Presence::Ready
+                && registration.state == RegistrationState::Ready;
+            return if is_restored && would_return { Change::Refused } else { Change::Nothing };
         }
-        if restarted || registration.addr != old.addr || registration.service != old.service {
+        let old = &server.registration;
+        let is_restart = registration.started > old.started;
+        if is_restart || registration.addr != old.addr || registration.service != old.service {
             self.remove(id);
             self.insert(now, position, registration);
             return Change::Joined;
@@ -177,6 +191,8 @@
         let before = server.presence;
         let same_state = before != Presence::Ended && registration.state == old.state;
         server.position = position;
+        server.report_era = position.era;
+        server.is_missing = false;
         server.warm_until = now + registration.warmup;
         server.presence = presence(registration.state);
         if server.presence != before {
@@ -191,12 +207,23 @@
     }
 
     /// Applies a snapshot of all registrations up to the position `end`. Known servers missing from it have ended.
+    ///
+    /// After a restore of the store, missing ones may only not have registered again yet. They are treated like those
+    /// that lapse in an outage.
     pub fn apply_snapshot(
         &mut self,
         now: Timestamp,
-        end: u64,
-        records: Vec<(Registration, u64)>,
+        end: StreamPosition,
+        records: Vec<(Registration, StreamPosition)>,
     ) -> Vec<(ServerId, Change)> {
+        if end.era < self.era {
+            return Vec::new();
+        }
+        let is_restored = end.era > self.era && !self.servers.is_empty();
+        self.era = end.era;
+        if is_restored {
+            self.record_store_outage(now);
+        }
         let listed: HashSet<ServerId> =
             records.iter().map(|(registration, _)| registration.id.clone()).collect();
         let missing: Vec<ServerId> = self
@@ -209,7 +236,10 @@
             .collect();
         let mut changes = Vec::new();
         for id in missing {
-            let change = self.end(now, &id, end.saturating_sub(1));
+            let change = self.end(now, &id, end.previous());
+            if let Some(server) = self.servers.get_mut(&id) {
+                server.is_missing = is_restored;
+            }
             changes.push((id, change));
         }
         for (registration, position) in records {
@@ -221,7 +251,7 @@
         changes
     }
 
-    fn end(&mut self, now: Timestamp, id: &ServerId, position: u64) -> Change {
+    fn end(&mut self, now: Timestamp, id: &ServerId, position: StreamPosition) -> Change {
         let Some(server) = self.servers.get_mut(id) else { return Change::Nothing };
         if position < server.position {
             return Change::Nothing;
@@ -235,7 +265,7 @@
         Change::Ended
     }
 
-    fn insert(&mut self, now: Timestamp, position: u64, registration: Registration) {
+    fn insert(&mut self, now: Timestamp, position: StreamPosition, registration: Registration) {
         let id = registration.id.clone();
         self.by_tag.insert(id.tag(), id.clone());
         self.by_service.entry(registration.service.clone()).or_default().push(id.clone());
@@ -243,6 +273,8 @@
             position,
             presence: presence(registration.state),
             presence_since: now,
+            report_era: position.era,
+            is_missing: false,
             warm_until: now + registration.warmup,
             shared_health: self.restored.remove(&id).unwrap_or_else(|| HealthEstimate::new(now)),
             local_health: HealthEstimate::new(now),
@@ -284,7 +316,8 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in old {
-            let position = self.servers.get(&id).map_or(0, |s| s.position + 1);
+            let position =
+                self.servers.get(&id).map_or_else(StreamPosition::default, |s| s.position.next());
             self.pruned_to = self.pruned_to.max(position);
             self.remove(&id);
         }
--- a/crates/core/src/process/stream_watch.rs
+++ b/crates/core/src/process/stream_watch.rs
@@ -1,6 +1,6 @@
 //! Decides how a node watches a stream of records in the platform's store.
 
-use crate::time::Span;
+use crate::{process::stream_position::StreamPosition, time::Span};
 use rand::Rng;
 
 /// Backoff after the first failed call.
@@ -16,20 +16,20 @@
     /// Read the newest record of each key.
     Newest,
     /// Wait for records at or after this position.
-    Watch(u64),
+    Watch(StreamPosition),
 }
 
 /// The state of a watch on one stream, which refuses snapshots older than the known position.
 #[derive(Clone, Debug, Default)]
 pub struct StreamWatch {
-    position: Option<u64>,
+    position: Option<StreamPosition>,
     is_expired: bool,
     failures: u32,
 }
 
 impl StreamWatch {
     /// Returns the position after the last known record, or `None` before the first read.
-    pub fn position(&self) -> Option<u64> {
+    pub fn position(&self) -> Option<StreamPosition> {
         self.position
     }
 
@@ -49,8 +49,9 @@
     /// Records a snapshot that ends at the position `end` and returns whether it may be used.
     ///
     /// A store that has just dropped its history may respond from an older state for some seconds. Such a snapshot
-    /// would restore servers that have left, so it is refused and read again.
-    pub fn accept_snapshot(&mut self, end: u64) -> bool {
+    /// would restore servers that have left, so it is refused and read again. A snapshot of a later era is newer, however
+    /// low its offset is.
+    pub fn accept_snapshot(&mut self, end: StreamPosition) -> bool {
         if self.position.is_some_and(|known| end < known) {
             self.failures += 1;
             return false;
@@ -61,14 +62,24 @@
         true
     }
 
-    /// Advances the position to `end` after reading records up to it.
-    pub fn advance(&mut self, end: u64) {
+    /// Advances the position to `end` after reading records from `from` up to it, and returns whether they may be used.
+    ///
+    /// Records of another era than that of `from` do not follow the known ones: offsets before `from` were given out
+    /// again, and their new records would be skipped.
+    pub fn advance(&mut self, from: StreamPosition, end: StreamPosition) -> bool {
+        let is_newer = self.position.is_some_and(|known| known.era < end.era);
+        let is_older = self.position.is_some_and(|known| known.era > end.era);
+        if from.era != end.era || is_older {
+            self.is_expired |= is_newer;
+            return false;
+        }
         self.position = Some(self.position.map_or(end, |known| known.max(end)));
         self.failures = 0;
+        true
     }
 
     /// Advances the position to `end` after another node relayed the records up to it.
-    pub fn advance_relayed(&mut self, end: u64) {
+    pub fn advance_relayed(&mut self, end: StreamPosition) {
         self.position = Some(self.position.map_or(end, |known| known.max(end)));
     }
 
--- a/crates/core/src/process/tracked_server.rs
+++ b/crates/core/src/process/tracked_server.rs
@@ -4,10 +4,11 @@
     process::{
         health_estimate::{HealthEstimate, HealthOptions, Observation},
         registration::Registration,
+        stream_position::StreamPosition,
     },
     time::{Span, Timestamp},
 };
-use std::collections::BTreeMap;
+use std::{cmp::Ordering, collections::BTreeMap};
 
 /// Whether a server may get new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,10 +23,14 @@
 pub struct TrackedServer {
     pub(super) registration: Registration,
     /// Position of the newest record in the stream of registrations.
-    pub(super) position: u64,
+    pub(super) position: StreamPosition,
     pub(super) presence: Presence,
     /// When `presence` last changed.
     pub(super) presence_since: Timestamp,
+    /// The era of the store in which the newest report was read first.
+    pub(super) report_era: u64,
+    /// Whether the registration was only missing from a restored copy of the store, so that nobody has ended it.
+    pub(super) is_missing: bool,
     /// End of the warm-up after a start.
     pub(super) warm_until: Timestamp,
     /// Health estimate from the observations of all nodes.
@@ -93,6 +98,19 @@
 }
 
 impl TrackedServer {
+    /// Returns whether a record read in `era` is newer than what is known: first by its start, then by its report.
+    ///
+    /// In a later era the same report may be an old copy, so it counts only for a server that was missing from the
+    /// restored store and is written again.
+    pub(super) fn accepts(&self, registration: &Registration, era: u64) -> bool {
+        let key = |r: &Registration| (r.started, r.report);
+        match key(registration).cmp(&key(&self.registration)) {
+            Ordering::Greater => true,
+            Ordering::Equal => era == self.report_era || self.is_missing,
+            Ordering::Less => false,
+        }
+    }
+
     /// Records a failure and drops the unreported successes, whose requests were sent before it.
     pub(super) fn record_failure(&mut self, now: Timestamp) {
         self.last_failure = Some(now);
--- a/crates/core/tests/fan_out.rs
+++ b/crates/core/tests/fan_out.rs
@@ -5,6 +5,7 @@
     process::{
         fan_out::FleetSize,
         peer_table::{NodeState, NodeStatus, PeerTable, PeerTableOptions},
+        stream_position::StreamPosition,
     },
     time::{Span, Timestamp},
 };
@@ -53,7 +54,7 @@
         zone: zone(number).as_str().into(),
         state: NodeState::Ready,
         config_version: 1,
-        registry_position: 1,
+        registry_position: StreamPosition::new(0, 1),
         store_reachable: true,
     }
 }
--- a/crates/core/tests/peer_table.rs
+++ b/crates/core/tests/peer_table.rs
@@ -2,7 +2,10 @@
 
 use rand::{rngs::StdRng, SeedableRng};
 use redwingtrestle_core::{
-    process::peer_table::{NodeState, NodeStatus, PeerTable, PeerTableOptions},
+    process::{
+        peer_table::{NodeState, NodeStatus, PeerTable, PeerTableOptions},
+        stream_position::StreamPosition,
+    },
     time::{Span, Timestamp},
 };
 use std::net::SocketAddr;
@@ -11,6 +14,10 @@
     Timestamp::ZERO + Span::from_millis(100_000 + millis)
 }
 
+fn offset(offset: u64) -> StreamPosition {
+    StreamPosition::new(0, offset)
+}
+
 fn addr(number: u8) -> SocketAddr {
     ([10, 0, 0, number], 7_000).into()
 }
@@ -23,7 +30,7 @@
         zone: zone.into(),
         state,
         config_version: 3,
-        registry_position: 9,
+        registry_position: offset(9),
         store_reachable: true,
     }
 }
@@ -102,20 +109,20 @@
 fn newest_peer_is_asked_for_updates() {
     let mut rng = StdRng::seed_from_u64(5);
     let mut peers = peers();
-    assert_eq!(peers.newer_peer(at(100), 3, 9, &mut rng), None);
+    assert_eq!(peers.newer_peer(at(100), 3, offset(9), &mut rng), None);
     peers.record_status(
         at(100),
         addr(8),
-        NodeStatus { registry_position: 10, ..status(8, "b", NodeState::Ready) },
+        NodeStatus { registry_position: offset(10), ..status(8, "b", NodeState::Ready) },
     );
-    assert_eq!(peers.newer_peer(at(100), 3, 9, &mut rng), Some(addr(8)));
+    assert_eq!(peers.newer_peer(at(100), 3, offset(9), &mut rng), Some(addr(8)));
     peers.record_status(
         at(100),
         addr(2),
-        NodeStatus { registry_position: 10, ..status(2, "a", NodeState::Ready) },
+        NodeStatus { registry_position: offset(10), ..status(2, "a", NodeState::Ready) },
     );
     assert_eq!(
-        peers.newer_peer(at(100), 3, 9, &mut rng),
+        peers.newer_peer(at(100), 3, offset(9), &mut rng),
         Some(addr(2)),
         "the peer in the own data centre"
     );
@@ -124,8 +131,12 @@
         addr(9),
         NodeStatus { config_version: 4, ..status(9, "b", NodeState::Ready) },
     );
-    assert_eq!(peers.newer_peer(at(100), 3, 9, &mut rng), Some(addr(9)));
-    assert_eq!(peers.newer_peer(at(5_000), 0, 0, &mut rng), None, "silent nodes are not asked");
+    assert_eq!(peers.newer_peer(at(100), 3, offset(9), &mut rng), Some(addr(9)));
+    assert_eq!(
+        peers.newer_peer(at(5_000), 0, offset(0), &mut rng),
+        None,
+        "silent nodes are not asked"
+    );
 }
 
 /// Guards against taking a restarted node for its previous process and so not telling it of the other nodes.
@@ -188,6 +199,21 @@
     let peers = peers();
     let mut rng = StdRng::seed_from_u64(5);
     let asked: std::collections::HashSet<_> =
-        (0..50).filter_map(|_| peers.newer_peer(at(100), 2, 9, &mut rng)).collect();
+        (0..50).filter_map(|_| peers.newer_peer(at(100), 2, offset(9), &mut rng)).collect();
     assert_eq!(asked, [1, 2, 3, 4].map(addr).into_iter().collect());
 }
+
+/// Guards against nodes that take the long stream of a lost store for newer than the short one of its restored copy.
+#[test]
+fn peer_that_read_the_restored_store_is_asked() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut peers = peers();
+    let restored = StreamPosition::new(1, 4);
+    peers.record_status(
+        at(100),
+        addr(8),
+        NodeStatus { registry_position: restored, ..status(8, "b", NodeState::Ready) },
+    );
+    assert_eq!(peers.newer_peer(at(100), 3, offset(9), &mut rng), Some(addr(8)));
+    assert_eq!(peers.newer_peer(at(100), 3, restored, &mut rng), None);
+}
--- a/crates/core/tests/refusing_service.rs
+++ b/crates/core/tests/refusing_service.rs
@@ -8,6 +8,7 @@
         picker::{self, PickRequest, PickerOptions},
         registration::{Registration, RegistrationState, ServerId},
         server_registry::{RegistryOptions, ServerRegistry},
+        stream_position::StreamPosition,
     },
     time::{Span, Timestamp},
 };
@@ -87,7 +88,7 @@
     for number in 0..SERVERS {
         let registration = registration(number);
         let id = registration.id.clone();
-        registry.apply_record(now, &id, 1, Some(registration));
+        registry.apply_record(now, &id, StreamPosition::new(0, 1), Some(registration));
     }
     let service = ServiceName::from("orders");
     let mut servers: Vec<ModelServer> = (0..SERVERS).map(|_| ModelServer::default()).collect();
@@ -158,7 +159,7 @@
     for number in 0..2 {
         let registration = registration(number);
         let id = registration.id.clone();
-        registry.apply_record(now, &id, 1, Some(registration));
+        registry.apply_record(now, &id, StreamPosition::new(0, 1), Some(registration));
     }
     let (sound, refusing) = (registration(0).id, registration(1).id);
     for step in 1..=40 {
--- a/crates/core/tests/server_registry.rs
+++ b/crates/core/tests/server_registry.rs
@@ -10,6 +10,7 @@
         picker::{pick, PickRequest, PickerOptions},
         registration::{Registration, RegistrationState, ServerId},
         server_registry::{Change, RegistryOptions, ServerRegistry},
+        stream_position::StreamPosition,
         tracked_server::{Counts, ServerReport},
     },
     time::{Span, Timestamp},
@@ -20,6 +21,10 @@
     Timestamp::ZERO + Span::from_secs(3_600) + Span::from_millis(millis)
 }
 
+fn offset(offset: u64) -> StreamPosition {
+    StreamPosition::new(0, offset)
+}
+
 fn id(number: u8) -> ServerId {
     ServerId(format!("i-{number}").into())
 }
@@ -45,7 +50,7 @@
 fn registry(count: u8) -> ServerRegistry {
     let mut registry = ServerRegistry::new(RegistryOptions::default());
     for number in 0..count {
-        registry.apply_record(at(0), &id(number), u64::from(number), Some(ready(number)));
+        registry.apply_record(at(0), &id(number), offset(u64::from(number)), Some(ready(number)));
     }
     registry
 }
@@ -61,12 +66,17 @@
 /// number of usable servers.
 fn last_change(records: &[(u64, Report)]) -> (Change, usize) {
     let mut registry = ServerRegistry::new(RegistryOptions::default());
-    registry.apply_record(at(0), &id(0), 10, Some(registration(0, RegistrationState::Ready, 5, 5)));
+    registry.apply_record(
+        at(0),
+        &id(0),
+        offset(10),
+        Some(registration(0, RegistrationState::Ready, 5, 5)),
+    );
     let mut change = Change::Nothing;
     for (position, record) in records {
         let registration =
             record.map(|(state, started, report)| registration(0, state, started, report));
-        change = registry.apply_record(at(1), &id(0), *position, registration);
+        change = registry.apply_record(at(1), &id(0), offset(*position), registration);
     }
     (change, usable(&registry, at(5_000)))
 }
@@ -101,10 +111,10 @@
 #[test]
 fn snapshot_ends_servers_that_it_lacks() {
     let mut registry = registry(4);
-    registry.apply_record(at(1), &id(9), 20, Some(ready(9)));
-    let records = vec![(ready(0), 0), (registration(1, DRAINING, 1, 2), 7)];
+    registry.apply_record(at(1), &id(9), offset(20), Some(ready(9)));
+    let records = vec![(ready(0), offset(0)), (registration(1, DRAINING, 1, 2), offset(7))];
     let changes: HashMap<ServerId, Change> =
-        registry.apply_snapshot(at(10), 15, records).into_iter().collect();
+        registry.apply_snapshot(at(10), offset(15), records).into_iter().collect();
     let expected = [(id(1), Change::Draining), (id(2), Change::Ended), (id(3), Change::Ended)]
         .into_iter()
         .collect();
@@ -118,7 +128,7 @@
 fn servers_that_lapse_in_a_store_outage_stay_for_a_short_time() {
     let mut registry = registry(3);
     registry.record_store_outage(at(100));
-    registry.apply_record(at(200), &id(0), 10, None);
+    registry.apply_record(at(200), &id(0), offset(10), None);
     assert_eq!(usable(&registry, at(300)), 3);
     assert_eq!(usable(&registry, at(2_500)), 2);
 }
@@ -127,7 +137,7 @@
 #[test]
 fn ended_server_is_unusable_at_once() {
     let mut registry = registry(3);
-    registry.apply_record(at(200), &id(0), 10, None);
+    registry.apply_record(at(200), &id(0), offset(10), None);
     assert_eq!(usable(&registry, at(201)), 2);
 }
 
@@ -156,22 +166,22 @@
     fn check(steps: Vec<Step>, cut: u8) -> bool {
         let mut first = ServerRegistry::new(RegistryOptions::default());
         let mut second = ServerRegistry::new(RegistryOptions::default());
-        let mut known = 0;
+        let mut known = offset(0);
         for (position, step) in (0u64..).zip(steps) {
             let state = if step.kind == 0 { READY } else { DRAINING };
             let new = registration(step.server, state, step.started.into(), step.report.into());
             let record = (step.kind < 2).then_some(new);
-            first.apply_record(at(position), &id(step.server), position, record);
+            first.apply_record(at(position), &id(step.server), offset(position), record);
             if position % u64::from(cut % 5 + 1) == 0 {
                 let Some(records) = first.changes_since(known) else { return false };
                 for (id, position, registration) in records {
-                    second.apply_record(at(position), &id, position, registration);
+                    second.apply_record(at(position.offset), &id, position, registration);
                 }
-                known = position + 1;
+                known = offset(position + 1);
             }
         }
         for (id, position, registration) in first.changes_since(known).unwrap_or_default() {
-            second.apply_record(at(position), &id, position, registration);
+            second.apply_record(at(position.offset), &id, position, registration);
         }
         let listed = |registry: &ServerRegistry| {
             let mut entries: Vec<String> = registry
@@ -274,7 +284,7 @@
     assert_eq!(suspects.iter().map(|(id, _)| id.clone()).collect::<Vec<_>>(), [id(1)]);
     let mut after = ServerRegistry::new(RegistryOptions::default());
     after.restore_suspects(at(100), suspects);
-    after.apply_record(at(200), &id(1), 1, Some(ready(1)));
+    after.apply_record(at(200), &id(1), offset(1), Some(ready(1)));
     assert_eq!(after.suspects(at(200)).len(), 1);
 }
 
--- a/crates/core/tests/stream_watch.rs
+++ b/crates/core/tests/stream_watch.rs
@@ -3,22 +3,29 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use rand::{rngs::StdRng, SeedableRng};
 use redwingtrestle_core::{
-    process::stream_watch::{StoreCall, StreamWatch},
+    process::{
+        stream_position::{EraChange, StoreEra, StreamPosition},
+        stream_watch::{StoreCall, StreamWatch},
+    },
     time::Span,
 };
 
+fn at(era: u64, offset: u64) -> StreamPosition {
+    StreamPosition::new(era, offset)
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Event {
-    Snapshot(u64),
-    Changes(u64),
-    Relayed(u64),
+    Snapshot(StreamPosition),
+    Changes(StreamPosition),
+    Relayed(StreamPosition),
     Expired,
     Failed,
 }
 
 impl Arbitrary for Event {
     fn arbitrary(g: &mut Gen) -> Self {
-        let end = u64::from(u8::arbitrary(g));
+        let end = at(u64::from(u8::arbitrary(g) % 3), u64::from(u8::arbitrary(g)));
         match u8::arbitrary(g) % 5 {
             0 => Event::Snapshot(end),
             1 => Event::Changes(end),
@@ -42,8 +49,8 @@
                     watch.accept_snapshot(end) == before.is_none_or(|known| end >= known)
                 }
                 Event::Changes(end) => {
-                    watch.advance(end);
-                    true
+                    let from = before.unwrap_or(end);
+                    watch.advance(from, end) == (from.era == end.era)
                 }
                 Event::Relayed(end) => {
                     watch.advance_relayed(end);
@@ -71,12 +78,48 @@
 #[test]
 fn older_snapshot_is_refused_and_read_again() {
     let mut watch = StreamWatch::default();
-    assert!(watch.accept_snapshot(40));
+    assert!(watch.accept_snapshot(at(0, 40)));
     watch.mark_expired();
-    assert!(!watch.accept_snapshot(39));
+    assert!(!watch.accept_snapshot(at(0, 39)));
     assert_eq!(watch.next_call(), StoreCall::Newest);
     assert!(watch.is_failing());
-    assert!(watch.accept_snapshot(41));
-    assert_eq!(watch.next_call(), StoreCall::Watch(41));
+    assert!(watch.accept_snapshot(at(0, 41)));
+    assert_eq!(watch.next_call(), StoreCall::Watch(at(0, 41)));
     assert!(!watch.is_failing());
 }
+
+/// Guards against a node that refuses the snapshot of a restored store because its offsets went back.
+#[test]
+fn snapshot_of_a_restored_store_is_accepted() {
+    let mut watch = StreamWatch::default();
+    assert!(watch.accept_snapshot(at(0, 40)));
+    watch.mark_expired();
+    assert!(watch.accept_snapshot(at(1, 31)));
+    assert_eq!(watch.next_call(), StoreCall::Watch(at(1, 31)));
+    assert!(!watch.accept_snapshot(at(0, 60)), "a late response of the lost store");
+}
+
+/// Guards against records that were written again below the watched offset and are skipped.
+#[test]
+fn records_of_a_restored_store_do_not_follow_the_known_ones() {
+    let mut watch = StreamWatch::default();
+    assert!(watch.accept_snapshot(at(0, 40)));
+    assert!(!watch.advance(at(0, 40), at(1, 43)));
+    assert_eq!(watch.position(), Some(at(0, 40)));
+    assert_eq!(watch.next_call(), StoreCall::Newest);
+    assert!(watch.accept_snapshot(at(1, 43)));
+    assert!(!watch.advance(at(0, 40), at(0, 44)), "a late response of the lost store");
+    assert_eq!(watch.next_call(), StoreCall::Watch(at(1, 43)));
+}
+
+/// Guards against an era that goes back, and against a first response that counts as a restore.
+#[test]
+fn era_of_the_store_only_grows() {
+    let mut era = StoreEra::default();
+    let changes = [3, 3, 5, 4, 5].map(|next| era.observe(next));
+    let (restored, outdated) =
+        (EraChange::Restored { before: 3 }, EraChange::Outdated { known: 5 });
+    let current = EraChange::Current;
+    assert_eq!(changes, [current, current, restored, outdated, current]);
+    assert_eq!(era.known(), Some(5));
+}
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -40,6 +40,7 @@
         data_centre: String,
         state: NodeStateDoc,
         config_version: u64,
+        /// The offset of the registry's position. Its era follows the datagram, see [`encode`].
         registry_position: u64,
         store_reachable: bool,
     },
@@ -51,6 +52,32 @@
     Relayed(Vec<ReportDoc>),
 }
 
+/// What follows a status in its datagram. Nodes of version 0.1 ignore it, and do not send it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StatusTail {
+    /// The era of the registry's position.
+    pub(crate) era: u64,
+}
+
+/// Encodes a datagram. `tail` follows it instead of being a field, because a node of the version before would drop a
+/// status without the field, and be dropped by nodes that require it.
+pub(crate) fn encode(datagram: &Datagram, tail: StatusTail) -> postcard::Result<Vec<u8>> {
+    let bytes = postcard::to_allocvec(datagram)?;
+    if tail == StatusTail::default() {
+        return Ok(bytes);
+    }
+    postcard::to_extend(&tail, bytes)
+}
+
+/// Decodes a datagram with its tail. Without a tail, the era is 0.
+pub(crate) fn decode(bytes: &[u8]) -> postcard::Result<(Datagram, StatusTail)> {
+    let (datagram, rest) = postcard::take_from_bytes(bytes)?;
+    if rest.is_empty() {
+        return Ok((datagram, StatusTail::default()));
+    }
+    Ok((datagram, postcard::from_bytes(rest)?))
+}
+
 /// The observations of one node.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct ReportDoc {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -3,8 +3,8 @@
 use crate::{
     clock::duration,
     datagram::{
-        Datagram, OutcomesDoc, ReportDoc, RowDoc, MAX_DATAGRAM, MAX_OUTCOMES, MAX_REPORT_HEAD,
-        MAX_ROWS,
+        self, Datagram, OutcomesDoc, ReportDoc, RowDoc, StatusTail, MAX_DATAGRAM, MAX_OUTCOMES,
+        MAX_REPORT_HEAD, MAX_ROWS,
     },
     peer_rpc,
     shared::{Fleet, Shared},
@@ -12,7 +12,8 @@
 use redwingtrestle_core::{
     ids::DataCentre,
     process::{
-        peer_table::NodeStatus, service_outcomes::OutcomeCounts, tracked_server::ServerReport,
+        peer_table::NodeStatus, service_outcomes::OutcomeCounts, stream_position::StreamPosition,
+        tracked_server::ServerReport,
     },
     time::{Span, Timestamp},
 };
@@ -126,8 +127,17 @@
         metrics::counter!("redwing_peer_bytes_total", "direction" => "in")
             .increment(bytes.len() as u64);
         let now = self.shared.now();
-        match postcard::from_bytes(bytes) {
-            Ok(Datagram::Status {
+        let (datagram, tail) = match datagram::decode(bytes) {
+            Ok(decoded) => decoded,
+            Err(e) => {
+                metrics::counter!("redwing_dropped_messages_total", "reason" => "malformed")
+                    .increment(1);
+                log::debug!(target: "peers", peer:% = from; "ignored a malformed datagram: {e}");
+                return;
+            }
+        };
+        match datagram {
+            Datagram::Status {
                 start,
                 entry,
                 data_centre,
@@ -135,7 +145,7 @@
                 config_version,
                 registry_position,
                 store_reachable,
-            }) => {
+            } => {
                 let zone = DataCentre::from(data_centre.as_str());
                 let status = NodeStatus {
                     start,
@@ -143,7 +153,7 @@
                     zone,
                     state: state.into(),
                     config_version,
-                    registry_position,
+                    registry_position: StreamPosition::new(tail.era, registry_position),
                     store_reachable,
                 };
                 let is_new = self.shared.fleet().peers.record_status(now, from, status);
@@ -154,29 +164,24 @@
                 }
                 self.fetch_newer_state(now);
             }
-            Ok(Datagram::Nodes(addrs)) => {
+            Datagram::Nodes(addrs) => {
                 let mut fleet = self.shared.fleet();
                 for addr in addrs {
                     fleet.peers.add_address(now, addr);
                 }
             }
-            Ok(Datagram::Report { from, relay, rows, outcomes }) => {
+            Datagram::Report { from, relay, rows, outcomes } => {
                 let report = ReportDoc { from, rows, outcomes };
                 self.apply_report(now, &report);
                 if relay {
                     self.relay(now, report).await;
                 }
             }
-            Ok(Datagram::Relayed(reports)) => {
+            Datagram::Relayed(reports) => {
                 for report in &reports {
                     self.apply_report(now, report);
                 }
             }
-            Err(e) => {
-                metrics::counter!("redwing_dropped_messages_total", "reason" => "malformed")
-                    .increment(1);
-                log::debug!(target: "peers", peer:% = from; "ignored a malformed datagram: {e}");
-            }
         }
     }
 
@@ -226,31 +231,38 @@
         let mut known = self.shared.fleet().peers.addresses();
         known.retain(|addr| *addr != to);
         known.truncate(MAX_ROWS);
-        self.send(&self.status(), &[to]).await;
+        self.send_status(&[to]).await;
         if !known.is_empty() {
             self.send(&Datagram::Nodes(known), &[to]).await;
         }
     }
 
-    fn status(&self) -> Datagram {
+    /// Returns this node's status, and the era of its position.
+    fn status(&self) -> (Datagram, StatusTail) {
         let state = self.shared.node_state().into();
         let config_version = self.shared.routing_config.load().as_ref().map_or(0, |c| c.version());
-        let (registry_position, store_reachable) = {
+        let (position, store_reachable) = {
             let fleet = self.shared.fleet();
             let is_failing = fleet.server_watch.is_failing() || fleet.config_watch.is_failing();
-            (fleet.server_watch.position().unwrap_or(0), !is_failing)
+            (fleet.server_watch.position().unwrap_or_default(), !is_failing)
         };
         let data_centre = self.shared.data_centre.as_str().to_string();
         let entry = self.shared.settings.entry;
-        Datagram::Status {
+        let status = Datagram::Status {
             start: self.shared.start_id,
             entry,
             data_centre,
             state,
             config_version,
-            registry_position,
+            registry_position: position.offset,
             store_reachable,
-        }
+        };
+        (status, StatusTail { era: position.era })
+    }
+
+    async fn send_status(&self, to: &[SocketAddr]) {
+        let (status, tail) = self.status();
+        self.send_encoded(datagram::encode(&status, tail), to).await;
     }
 
     async fn tick(&mut self) {
@@ -269,7 +281,7 @@
             self.live_nodes = live_nodes;
         }
         if !due.is_empty() {
-            self.send(&self.status(), &due).await;
+            self.send_status(&due).await;
         }
         if now.since(self.last_report) >= REPORT_INTERVAL {
             self.send_report(false).await;
@@ -300,7 +312,7 @@
         let peer = {
             let mut fleet = self.shared.fleet();
             let Fleet { peers, rng, server_watch, .. } = &mut *fleet;
-            peers.newer_peer(now, version, server_watch.position().unwrap_or(0), rng)
+            peers.newer_peer(now, version, server_watch.position().unwrap_or_default(), rng)
         };
         let Some(peer) = peer else {
             self.behind_since = None;
@@ -392,17 +404,21 @@
             let Fleet { peers, rng, .. } = &mut *fleet;
             peers.nearby_peers(now, rng)
         };
-        self.send(&self.status(), &near).await;
+        self.send_status(&near).await;
     }
 
     /// Sends this node's status to every known node, after a change of its phase.
     async fn send_status_to_all(&self) {
         let all = self.shared.fleet().peers.addresses();
-        self.send(&self.status(), &all).await;
+        self.send_status(&all).await;
     }
 
     async fn send(&self, datagram: &Datagram, to: &[SocketAddr]) {
-        let bytes = match postcard::to_allocvec(datagram) {
+        self.send_encoded(datagram::encode(datagram, StatusTail::default()), to).await;
+    }
+
+    async fn send_encoded(&self, encoded: postcard::Result<Vec<u8>>, to: &[SocketAddr]) {
+        let bytes = match encoded {
             Ok(bytes) => bytes,
             Err(e) => {
                 log::error!(target: "peers", "cannot encode a datagram, it is not sent: {e}");
--- a/crates/gateway/src/peer_rpc.rs
+++ b/crates/gateway/src/peer_rpc.rs
@@ -12,7 +12,11 @@
     types::ErrorObjectOwned,
 };
 use redwingtrestle_core::{
-    process::{registration::Registration, server_registry::ServerRecord},
+    process::{
+        registration::{Registration, ServerId},
+        server_registry::ServerRecord,
+        stream_position::{EraChange, StreamPosition},
+    },
     version::routing_config::RoutingConfigDoc,
 };
 use serde::{Deserialize, Serialize};
@@ -42,6 +46,9 @@
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct ServersDoc {
+    /// The era of all positions. Nodes of version 0.1 neither send nor read it.
+    #[serde(default)]
+    era: u64,
     end: u64,
     records: RecordsDoc,
 }
@@ -51,7 +58,59 @@
     /// All registrations.
     All(Vec<(Registration, u64)>),
     /// The changes since the calling node's position.
-    Since(Vec<ServerRecord>),
+    Since(Vec<(ServerId, u64, Option<Registration>)>),
+}
+
+impl ServersDoc {
+    /// Encodes all registrations, or the changes if they are known.
+    fn new(
+        end: StreamPosition,
+        since: Option<Vec<ServerRecord>>,
+        all: impl FnOnce() -> Vec<(Registration, StreamPosition)>,
+    ) -> Self {
+        // A record that was read before the store was restored precedes all offsets of the era.
+        let offset = |position: StreamPosition| {
+            if position.era == end.era {
+                position.offset
+            } else {
+                0
+            }
+        };
+        let records = match since {
+            Some(records) => {
+                let rows = records.into_iter().map(|(id, at, record)| (id, offset(at), record));
+                RecordsDoc::Since(rows.collect())
+            }
+            None => RecordsDoc::All(all().into_iter().map(|(r, at)| (r, offset(at))).collect()),
+        };
+        ServersDoc { era: end.era, end: end.offset, records }
+    }
+
+    /// Returns the position after the last record.
+    fn end(&self) -> StreamPosition {
+        StreamPosition::new(self.era, self.end)
+    }
+
+    /// Applies the records to the known servers.
+    fn apply(self, shared: &Shared) {
+        let end = self.end();
+        if let EraChange::Outdated { .. } = shared.observe_era(end.era, "peer", Some(end)) {
+            return;
+        }
+        let position = |offset| StreamPosition::new(end.era, offset);
+        match self.records {
+            RecordsDoc::All(rows) => {
+                let rows = rows.into_iter().map(|(r, offset)| (r, position(offset)));
+                shared.apply_registrations(end, rows.collect(), "peer");
+            }
+            RecordsDoc::Since(rows) => {
+                for (id, offset, registration) in rows {
+                    shared.apply_registration(&id, position(offset), registration, "peer");
+                }
+            }
+        }
+        shared.fleet().server_watch.advance_relayed(end);
+    }
 }
 
 /// Returns the settings of a JSON-RPC server for calls between nodes: size limits, no batches, HTTP only.
@@ -71,8 +130,12 @@
     let mut module = RpcModule::new(shared);
     module
         .register_method(NEWER_STATE, |params, shared, _| {
-            let (version, servers): (u64, u64) = params.parse()?;
-            Ok::<_, ErrorObjectOwned>(newer_state(shared, version, servers))
+            let mut params = params.sequence();
+            let (version, offset): (u64, u64) = (params.next()?, params.next()?);
+            // Nodes of version 0.1 send no era.
+            let era: Option<u64> = params.optional_next()?;
+            let known = StreamPosition::new(era.unwrap_or_default(), offset);
+            Ok::<_, ErrorObjectOwned>(newer_state(shared, version, known))
         })
         .map_err(|e| Error::start("exchange", &e))?;
     let builder = jsonrpsee::server::Server::builder().set_config(config(MAX_CONNECTIONS));
@@ -81,17 +144,15 @@
 }
 
 /// Returns the state that is newer than the calling node's version and position.
-fn newer_state(shared: &Shared, version: u64, servers: u64) -> NewerStateDoc {
+fn newer_state(shared: &Shared, version: u64, known: StreamPosition) -> NewerStateDoc {
     let routing_config = shared.routing_config.load();
     let routing_config =
         routing_config.as_ref().filter(|c| c.version() > version).map(|c| c.doc().clone());
     let fleet = shared.fleet();
-    let end = fleet.server_watch.position().filter(|end| *end > servers);
+    let end = fleet.server_watch.position().filter(|end| *end > known);
     let servers = end.map(|end| {
-        let since = (servers > 0).then(|| fleet.registry.changes_since(servers)).flatten();
-        let records = since
-            .map_or_else(|| RecordsDoc::All(fleet.registry.registrations()), RecordsDoc::Since);
-        ServersDoc { end, records }
+        let since = (known.offset > 0).then(|| fleet.registry.changes_since(known)).flatten();
+        ServersDoc::new(end, since, || fleet.registry.registrations())
     });
     NewerStateDoc { routing_config, servers }
 }
@@ -99,7 +160,7 @@
 /// Gets the state that is newer than this node's from the node at `addr`, and applies it.
 pub async fn fetch(shared: Arc<Shared>, addr: SocketAddr) {
     let version = shared.routing_config.load().as_ref().map_or(0, |c| c.version());
-    let known = shared.fleet().server_watch.position().unwrap_or(0);
+    let known = shared.fleet().server_watch.position().unwrap_or_default();
     // A new client for each call, so that a dead connection is never reused.
     let client = HttpClientBuilder::default()
         .request_timeout(CALL_TIMEOUT)
@@ -113,25 +174,20 @@
             return;
         }
     };
-    let response: std::result::Result<NewerStateDoc, _> =
-        client.request(NEWER_STATE, rpc_params![version, known]).await;
+    let StreamPosition { era, offset } = known;
+    // Nodes of version 0.1 refuse a third parameter. It is needed only after the store was restored.
+    let params = match era {
+        0 => rpc_params![version, offset],
+        _ => rpc_params![version, offset, era],
+    };
+    let response: std::result::Result<NewerStateDoc, _> = client.request(NEWER_STATE, params).await;
     match response {
         Ok(NewerStateDoc { routing_config, servers }) => {
             if let Some(doc) = routing_config {
                 shared.apply_config(&doc, "peer");
             }
-            if let Some(ServersDoc { end, records }) = servers {
-                match records {
-                    RecordsDoc::All(registrations) => {
-                        shared.apply_registrations(end, registrations, "peer");
-                    }
-                    RecordsDoc::Since(records) => {
-                        for (id, position, registration) in records {
-                            shared.apply_registration(&id, position, registration, "peer");
-                        }
-                    }
-                }
-                shared.fleet().server_watch.advance_relayed(end);
+            if let Some(servers) = servers {
+                servers.apply(&shared);
             }
         }
         Err(e) => {
--- a/crates/gateway/src/saved_state.rs
+++ b/crates/gateway/src/saved_state.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     shared::Shared,
-    store::{Store, StoreError},
+    store::{Saved, Store, StoreError},
 };
 use redwingtrestle_core::{
     process::registration::ServerId,
@@ -51,8 +51,9 @@
         tokio::time::sleep(pause).await;
         pause = (2 * pause).min(MAX_READ_PAUSE);
     }
-    let mut is_announced = false;
+    let mut announced_era: Option<u64> = None;
     let mut was_empty = true;
+    let mut saved_era = known_era(&shared);
     let mut isolated_intervals = 0;
     loop {
         tokio::time::sleep(SAVE_INTERVAL).await;
@@ -68,12 +69,18 @@
         if isolated_intervals > 0 && isolated_intervals % ISOLATED_READ_INTERVALS == 0 {
             read(&shared, &store).await;
         }
-        if !is_announced && shared.is_reader() {
+        // A restored store may have lost what this node saved there.
+        let era = known_era(&shared);
+        if announced_era.is_none_or(|announced| announced < era) && shared.is_reader() {
             let peer = shared.settings.peer.to_string();
             let result = store.save(&format!("{NODE_PREFIX}{peer}"), peer.as_bytes()).await;
-            is_announced = check_write("announce this node", &result);
+            if check_write(&shared, "announce this node", &result) {
+                announced_era = Some(era);
+            }
         }
         if is_writer {
+            was_empty &= saved_era == era;
+            saved_era = era;
             was_empty = save(&shared, &store, was_empty).await;
         }
     }
@@ -95,30 +102,44 @@
             return was_empty;
         }
     };
-    check_write("save the failing servers", &store.save(SUSPECTS_KEY, &bytes).await) && is_empty
+    check_write(shared, "save the failing servers", &store.save(SUSPECTS_KEY, &bytes).await)
+        && is_empty
 }
 
 /// Returns whether a write succeeded, and logs a failure. A write without a response can be repeated, as the newest
 /// value of a key wins.
-fn check_write(what: &str, result: &Result<(), StoreError>) -> bool {
+fn check_write(shared: &Shared, what: &str, result: &Result<u64, StoreError>) -> bool {
+    let era = result.as_ref().map_or_else(StoreError::era, |era| Some(*era));
+    if let Some(era) = era {
+        shared.observe_era(era, what, None);
+    }
     if let Err(e) = result {
         log::warn!(target: "memory", what; "a write to the store failed: {e}");
     }
     result.is_ok()
 }
 
+/// Returns the newest known era of the store, 0 before the first response.
+fn known_era(shared: &Shared) -> u64 {
+    shared.fleet().store_era.known().unwrap_or_default()
+}
+
 /// Reads and applies the saved state, and returns whether the store responded.
 async fn read<S: Store>(shared: &Shared, store: &S) -> bool {
-    let saved = match store.read_saved().await {
+    let Saved { values, era } = match store.read_saved().await {
         Ok(saved) => saved,
         Err(e) => {
+            if let Some(era) = e.era() {
+                shared.observe_era(era, "read saved values", None);
+            }
             log::warn!(target: "memory", what = "read saved values";
                 "the saved state cannot be read from the store: {e}");
             return false;
         }
     };
+    shared.observe_era(era, "read saved values", None);
     let now = shared.now();
-    for (key, value) in saved {
+    for (key, value) in values {
         if let Some(addr) = key.strip_prefix(NODE_PREFIX) {
             match addr.parse::<SocketAddr>() {
                 Ok(addr) => {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -11,6 +11,7 @@
         picker::PickerOptions,
         registration::{Registration, ServerId},
         server_registry::{Change, RegistryOptions, ServerRegistry},
+        stream_position::{EraChange, StoreEra, StreamPosition},
         stream_watch::StreamWatch,
     },
     request::retry::{RetryBudget, RetryOptions},
@@ -56,6 +57,8 @@
     pub server_watch: StreamWatch,
     /// The watch of the configuration.
     pub config_watch: StreamWatch,
+    /// The newest known era of the store.
+    pub store_era: StoreEra,
     /// The moving average of the response size by route, in bytes.
     pub response_sizes: HashMap<Arc<str>, f64>,
     /// The random numbers for choosing servers and peers.
@@ -119,6 +122,7 @@
             retry_budgets: HashMap::new(),
             server_watch: StreamWatch::default(),
             config_watch: StreamWatch::default(),
+            store_era: StoreEra::default(),
             response_sizes: HashMap::new(),
             rng: StdRng::from_os_rng(),
         };
@@ -200,7 +204,7 @@
     pub fn apply_registration(
         &self,
         id: &ServerId,
-        position: u64,
+        position: StreamPosition,
         registration: Option<Registration>,
         source: &str,
     ) {
@@ -209,21 +213,66 @@
     }
 
     /// Applies a snapshot of all registrations up to the position `end`.
-    pub fn apply_registrations(&self, end: u64, records: Vec<(Registration, u64)>, source: &str) {
+    pub fn apply_registrations(
+        &self,
+        end: StreamPosition,
+        records: Vec<(Registration, StreamPosition)>,
+        source: &str,
+    ) {
         let changes = self.fleet().registry.apply_snapshot(self.now(), end, records);
         for (id, change) in changes {
             self.log_change(&id, end, change, source);
         }
     }
 
-    fn log_change(&self, id: &ServerId, position: u64, change: Change, source: &str) {
+    /// Records the era of a response of the store, or of a position from a peer.
+    ///
+    /// In a new era offsets were given out again, so all streams are read from snapshots, and calls that wait at an old
+    /// offset are repeated.
+    pub fn observe_era(
+        &self,
+        era: u64,
+        source: &str,
+        position: Option<StreamPosition>,
+    ) -> EraChange {
+        let mut fleet = self.fleet();
+        let change = fleet.store_era.observe(era);
+        let known = fleet.server_watch.position();
+        match change {
+            EraChange::Current => {}
+            EraChange::Restored { before } => {
+                fleet.server_watch.mark_expired();
+                fleet.config_watch.mark_expired();
+                drop(fleet);
+                log::warn!(target: "store", era, before, known:? = known, position:? = position, source;
+                    "the store was restored from an older copy, reading all streams again");
+                self.restart_calls.notify_waiters();
+            }
+            EraChange::Outdated { known } => {
+                log::warn!(target: "store", era, known, position:? = position, source;
+                    "a response of an earlier era of the store is ignored");
+                return change;
+            }
+        }
+        metrics::gauge!("redwing_store_era").set(era as f64);
+        change
+    }
+
+    fn log_change(&self, id: &ServerId, position: StreamPosition, change: Change, source: &str) {
+        let StreamPosition { era, offset } = position;
         if matches!(change, Change::Nothing | Change::Updated) {
             return;
         }
+        if change == Change::Refused {
+            log::warn!(target: "servers", server = id.as_str(), era, position = offset, source;
+                "an older record of a draining or ended server is refused after a restore of the store");
+            return;
+        }
         if matches!(change, Change::Draining | Change::Ended | Change::Joined) {
             self.pool.close_idle(id);
         }
-        log::info!(target: "servers", server = id.as_str(), change:? = change, position, source;
+        log::info!(target: "servers", server = id.as_str(), change:? = change, era, position = offset,
+            source;
             "the registration of a server changed");
         self.changed.notify_waiters();
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,7 +1,10 @@
 //! The interface of the platform's store, as gateways use it.
 
 use redwingtrestle_core::{
-    process::registration::{Registration, ServerId},
+    process::{
+        registration::{Registration, ServerId},
+        stream_position::StreamPosition,
+    },
     version::routing_config::RoutingConfigDoc,
 };
 use snafu::Snafu;
@@ -33,9 +36,18 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Batch {
     /// The records in the order of the response, with their positions.
-    pub records: Vec<(u64, Record)>,
-    /// The position from which to continue watching.
-    pub end: u64,
+    pub records: Vec<(StreamPosition, Record)>,
+    /// The position from which to continue watching. Its era is that of the response.
+    pub end: StreamPosition,
+}
+
+/// The values that gateways have saved.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Saved {
+    /// The values with their keys.
+    pub values: Vec<(String, Vec<u8>)>,
+    /// The era of the response.
+    pub era: u64,
 }
 
 /// The reason why a call to the store failed.
@@ -44,14 +56,24 @@
     /// The records at the position were dropped from the store's history.
     #[snafu(display("the records were dropped, the first one kept is at position {first}"))]
     Expired {
-        /// The first position that can still be read.
+        /// The first offset that can still be read.
         first: u64,
+        /// The era of the response.
+        era: u64,
+    },
+    /// The store was restored from a copy while its pages were read, so the pages do not belong together.
+    #[snafu(display("the store was restored while it was read, its era is {era} now"))]
+    Restored {
+        /// The era of the newest page.
+        era: u64,
     },
     /// The store refused the call and did nothing, because it is down, busy or full.
     #[snafu(display("the store refused the call with HTTP status {status}"))]
     Refused {
         /// The HTTP status.
         status: u16,
+        /// The era of the response.
+        era: u64,
     },
     /// No response arrived. A write may still take effect.
     #[snafu(display("no response from the store: {what}"))]
@@ -67,13 +89,25 @@
     },
 }
 
+impl StoreError {
+    /// Returns the era of the response, or `None` if none arrived or it cannot be decoded.
+    pub fn era(&self) -> Option<u64> {
+        match self {
+            StoreError::Expired { era, .. }
+            | StoreError::Restored { era }
+            | StoreError::Refused { era, .. } => Some(*era),
+            StoreError::Unreachable { .. } | StoreError::Unreadable { .. } => None,
+        }
+    }
+}
+
 /// A client of the platform's store.
 pub trait Store: Clone + Send + Sync + 'static {
     /// Reads a snapshot of a stream: the newest record of each key.
     fn read_newest(&self, stream: Stream)
         -> impl Future<Output = Result<Batch, StoreError>> + Send;
 
-    /// Returns the records from the position `from` on, and waits up to `wait` for one if there is none yet.
+    /// Returns the records from the offset `from` on, and waits up to `wait` for one if there is none yet.
     fn watch(
         &self,
         stream: Stream,
@@ -82,9 +116,9 @@
     ) -> impl Future<Output = Result<Batch, StoreError>> + Send;
 
     /// Reads all values that gateways have saved, by key.
-    fn read_saved(&self)
-        -> impl Future<Output = Result<Vec<(String, Vec<u8>)>, StoreError>> + Send;
+    fn read_saved(&self) -> impl Future<Output = Result<Saved, StoreError>> + Send;
 
-    /// Saves a value under a key for gateways that start later.
-    fn save(&self, key: &str, value: &[u8]) -> impl Future<Output = Result<(), StoreError>> + Send;
+    /// Saves a value under a key for gateways that start later, and returns the era of the response.
+    fn save(&self, key: &str, value: &[u8])
+        -> impl Future<Output = Result<u64, StoreError>> + Send;
 }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -8,6 +8,7 @@
 use redwingtrestle_core::{
     process::{
         registration::Registration,
+        stream_position::{EraChange, StreamPosition},
         stream_watch::{StoreCall, StreamWatch},
     },
     time::Span,
@@ -97,7 +98,7 @@
 ) -> Result<Batch, StoreError> {
     let StoreCall::Watch(from) = call else { return store.read_newest(stream).await };
     let wait = if shared.is_writer() { WRITER_WATCH } else { MAX_WATCH };
-    let watch = tokio::time::timeout(wait + RESPONSE_GRACE, store.watch(stream, from, wait));
+    let watch = tokio::time::timeout(wait + RESPONSE_GRACE, store.watch(stream, from.offset, wait));
     let lost_response = || StoreError::Unreachable { what: "the response was lost".into() };
     watch.await.unwrap_or_else(|_| Err(lost_response()))
 }
@@ -105,22 +106,30 @@
 /// Applies a response, and returns the pause before the next call.
 fn apply_batch(shared: &Shared, stream: Stream, call: StoreCall, batch: Batch) -> Option<Span> {
     let end = batch.end;
+    if let EraChange::Outdated { .. } = shared.observe_era(end.era, "store", Some(end)) {
+        return Some(record_failure(&mut shared.fleet(), stream));
+    }
     let was_unreachable = watch_state(&mut shared.fleet(), stream).is_failing();
+    let StreamPosition { era, offset } = end;
     if call == StoreCall::Newest {
         if !watch_state(&mut shared.fleet(), stream).accept_snapshot(end) {
-            log::warn!(target: "store", stream:% = stream, end;
+            log::warn!(target: "store", stream:% = stream, era, end = offset;
                 "the snapshot is older than the known state, reading it again later");
             return Some(record_failure(&mut shared.fleet(), stream));
         }
-    } else {
-        watch_state(&mut shared.fleet(), stream).advance(end);
+    } else if let StoreCall::Watch(from) = call {
+        if !watch_state(&mut shared.fleet(), stream).advance(from, end) {
+            log::warn!(target: "store", stream:% = stream, era, before = from.era, from = from.offset;
+                "the records do not follow the known ones, reading a snapshot");
+            return None;
+        }
     }
     shared.store_updates.notify_one();
     if was_unreachable {
-        log::info!(target: "store", stream:% = stream, end; "the store answers again");
+        log::info!(target: "store", stream:% = stream, era, end = offset; "the store answers again");
     }
     let source = if call == StoreCall::Newest { "store snapshot" } else { "store" };
-    let mut registrations: Vec<(Registration, u64)> = Vec::new();
+    let mut registrations: Vec<(Registration, StreamPosition)> = Vec::new();
     for (position, record) in batch.records {
         match record {
             Record::RoutingConfig(doc) => {
@@ -149,8 +158,14 @@
     error: &StoreError,
 ) -> Option<Span> {
     let now = shared.now();
+    let change = error.era().map(|era| shared.observe_era(era, "store", None));
+    let is_outdated = matches!(change, Some(EraChange::Outdated { .. }));
     let mut fleet = shared.fleet();
-    if let StoreError::Expired { first } = error {
+    if matches!(error, StoreError::Restored { .. }) && !is_outdated {
+        watch_state(&mut fleet, stream).mark_expired();
+        return None;
+    }
+    if let (StoreError::Expired { first, .. }, false) = (error, is_outdated) {
         watch_state(&mut fleet, stream).mark_expired();
         drop(fleet);
         log::warn!(target: "store", stream:% = stream, first;
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -54,6 +54,7 @@
     describe_counter!("redwing_peer_bytes_total", "Bytes of messages between nodes, by direction");
     describe_counter!("redwing_log_lines_dropped_total", "Log lines dropped at the limit");
     describe_gauge!("redwing_gateway_config_version", "Version of the configuration in force");
+    describe_gauge!("redwing_store_era", "Number of times that the store was restored from a copy");
     describe_gauge!("redwing_gateway_peers", "Other nodes that are heard");
     describe_gauge!("redwing_gateway_open_requests", "Requests that are not answered yet");
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -5,7 +5,10 @@
 pub(crate) mod endless;
 
 use redwingtrestle_core::{
-    process::registration::{Registration, RegistrationState, ServerId},
+    process::{
+        registration::{Registration, RegistrationState, ServerId},
+        stream_position::StreamPosition,
+    },
     time::Span,
     version::routing_config::{
         CallerLimits, HostRoute, RepeatPolicy, RoutingConfigDoc, WeightedService,
@@ -16,14 +19,14 @@
     header_names::HeaderNames,
     settings::Settings,
     shared::Shared,
-    store::{Batch, Record, Store, StoreError, Stream},
+    store::{Batch, Record, Saved, Store, StoreError, Stream},
     store_watch,
 };
 use std::{
     collections::HashMap,
     net::{SocketAddr, TcpListener as StdListener},
     sync::{
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
         Arc, Mutex,
     },
     time::{Duration, Instant},
@@ -47,6 +50,7 @@
     changed: Arc<Notify>,
     lost: Arc<AtomicU32>,
     saved: Arc<Mutex<HashMap<String, Vec<u8>>>>,
+    era: Arc<AtomicU64>,
 }
 
 impl MemoryStore {
@@ -80,18 +84,40 @@
         self.lost.store(watches, Ordering::SeqCst);
     }
 
-    fn read(&self, stream: Stream, from: u64) -> Batch {
+    /// Restores a copy that has only the first `kept` records of each stream and no saved value, and appends `written`.
+    pub(crate) fn restore(&self, kept: usize, written: Vec<(Stream, Record)>) {
+        {
+            let mut records = self.records.lock().unwrap();
+            records.values_mut().for_each(|stream| stream.truncate(kept));
+            self.era.fetch_add(1, Ordering::SeqCst);
+            for (stream, record) in written {
+                records.entry(stream.into()).or_default().push(record);
+            }
+            self.saved.lock().unwrap().clear();
+        }
+        self.changed.notify_waiters();
+    }
+
+    fn read(&self, stream: Stream, from: u64) -> Result<Batch, StoreError> {
         let name: &'static str = stream.into();
-        let records = self.records.lock().unwrap().get(name).cloned().unwrap_or_default();
-        let end = records.len() as u64;
-        let records = (0u64..).zip(records).filter(|(position, _)| *position >= from).collect();
-        Batch { records, end }
+        let all = self.records.lock().unwrap();
+        let era = self.era.load(Ordering::SeqCst);
+        let records = all.get(name).cloned().unwrap_or_default();
+        let end = StreamPosition::new(era, records.len() as u64);
+        if from > end.offset {
+            return Err(StoreError::Expired { first: 0, era });
+        }
+        let records = (0u64..)
+            .zip(records)
+            .filter(|(offset, _)| *offset >= from)
+            .map(|(offset, record)| (StreamPosition::new(era, offset), record));
+        Ok(Batch { records: records.collect(), end })
     }
 }
 
 impl Store for MemoryStore {
     async fn read_newest(&self, stream: Stream) -> Result<Batch, StoreError> {
-        Ok(self.read(stream, 0))
+        self.read(stream, 0)
     }
 
     async fn watch(&self, stream: Stream, from: u64, wait: Duration) -> Result<Batch, StoreError> {
@@ -104,7 +130,7 @@
         }
         loop {
             let changed = self.changed.notified();
-            let batch = self.read(stream, from);
+            let batch = self.read(stream, from)?;
             if !batch.records.is_empty() || tokio::time::Instant::now() >= deadline {
                 return Ok(batch);
             }
@@ -112,13 +138,14 @@
         }
     }
 
-    async fn read_saved(&self) -> Result<Vec<(String, Vec<u8>)>, StoreError> {
-        Ok(self.saved.lock().unwrap().clone().into_iter().collect())
+    async fn read_saved(&self) -> Result<Saved, StoreError> {
+        let values = self.saved.lock().unwrap().clone().into_iter().collect();
+        Ok(Saved { values, era: self.era.load(Ordering::SeqCst) })
     }
 
-    async fn save(&self, key: &str, value: &[u8]) -> Result<(), StoreError> {
+    async fn save(&self, key: &str, value: &[u8]) -> Result<u64, StoreError> {
         self.saved.lock().unwrap().insert(key.into(), value.into());
-        Ok(())
+        Ok(self.era.load(Ordering::SeqCst))
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/restored_store.rs
@@ -0,0 +1,181 @@
+//! Gateways whose store comes back from an older copy and gives offsets out again.
+
+mod common;
+
+use common::{routing_config, Backend, Behaviour, TestGateway};
+use redwingtrestle_core::process::{
+    registration::RegistrationState, stream_position::StreamPosition,
+};
+use redwingtrestle_gateway::{
+    gossip::Gossip,
+    peer_rpc, saved_state,
+    store::{Record, Stream},
+};
+use serde::Serialize;
+use std::net::SocketAddr;
+use tokio::net::UdpSocket;
+
+fn config(version: u64) -> (Stream, Record) {
+    (Stream::Configuration, Record::RoutingConfig(Box::new(routing_config(version))))
+}
+
+fn server(backend: &Backend, state: RegistrationState, report: u64) -> (Stream, Record) {
+    let registration = Some(Box::new(backend.registration(state, report)));
+    (Stream::Servers, Record::Server(backend.id.clone(), registration))
+}
+
+fn usable(gateway: &TestGateway) -> usize {
+    gateway.shared.fleet().registry.usable(gateway.shared.now(), &"orders".into()).len()
+}
+
+fn version(gateway: &TestGateway) -> Option<u64> {
+    gateway.shared.routing_config.load().as_ref().map(|c| c.version())
+}
+
+/// Returns a gateway that has read five registrations of two servers, and configurations up to version 3.
+async fn gateway(one: &Backend, two: &Backend) -> TestGateway {
+    let gateway = TestGateway::with_servers(&[one, two]).await;
+    for report in 2..5 {
+        gateway.store.register(one.registration(RegistrationState::Ready, report));
+    }
+    for version in [2, 3] {
+        let (stream, record) = config(version);
+        gateway.store.append(stream, record);
+    }
+    gateway
+        .wait_until("all records are read", || {
+            let fleet = gateway.shared.fleet();
+            let position = fleet.server_watch.position();
+            let config_position = fleet.config_watch.position();
+            position.is_some_and(|p| p.offset == 5)
+                && config_position.is_some_and(|p| p.offset == 3)
+        })
+        .await;
+    gateway
+}
+
+async fn backends() -> (Backend, Backend) {
+    (Backend::start("i-1", Behaviour::Serve).await, Backend::start("i-2", Behaviour::Serve).await)
+}
+
+/// Guards against draining and a route that are never seen because the snapshot of the restored store looks old.
+#[tokio::test]
+async fn draining_and_new_route_are_in_force_after_restore() {
+    let (one, two) = backends().await;
+    let gateway = gateway(&one, &two).await;
+    let draining = server(&two, RegistrationState::Draining, 2);
+    gateway.store.restore(1, vec![server(&two, RegistrationState::Ready, 1), draining, config(4)]);
+    gateway
+        .wait_until("the changes are in force", || {
+            usable(&gateway) == 1 && version(&gateway) == Some(4)
+        })
+        .await;
+}
+
+/// Guards against records that are skipped because the restored store has grown past the watched offset.
+#[tokio::test]
+async fn records_written_again_below_the_known_offset_are_read() {
+    let (one, two) = backends().await;
+    let gateway = gateway(&one, &two).await;
+    let mut written = vec![server(&two, RegistrationState::Draining, 2)];
+    written.extend((5..12).map(|report| server(&one, RegistrationState::Ready, report)));
+    gateway.store.restore(2, written);
+    gateway.wait_until("the draining is known", || usable(&gateway) == 1).await;
+}
+
+/// Guards against a configuration that goes back to the one in the copy, and a drained server that the copy returns.
+#[tokio::test]
+async fn older_copy_does_not_take_back_what_was_confirmed() {
+    let (one, two) = backends().await;
+    let gateway = gateway(&one, &two).await;
+    gateway.store.register(two.registration(RegistrationState::Draining, 2));
+    gateway.wait_until("the draining is known", || usable(&gateway) == 1).await;
+    gateway.store.restore(2, Vec::new());
+    gateway
+        .wait_until("the copy is read", || {
+            let fleet = gateway.shared.fleet();
+            let watches = [&fleet.server_watch, &fleet.config_watch];
+            watches.iter().all(|watch| watch.position() == Some(StreamPosition::new(1, 2)))
+        })
+        .await;
+    assert_eq!((usable(&gateway), version(&gateway)), (1, Some(3)));
+}
+
+async fn start_gossip(gateway: &TestGateway) {
+    let socket = UdpSocket::bind(gateway.shared.settings.peer).await.expect("a free port");
+    tokio::spawn(Gossip::new(gateway.shared.clone(), socket).run());
+}
+
+/// Guards against nodes that learn nothing from their peers until the restored store has as many records as before.
+#[tokio::test]
+async fn second_gateway_learns_the_restored_state_from_its_peer() {
+    let (one, two) = backends().await;
+    let reader = gateway(&one, &two).await;
+    let second = TestGateway::with_empty_store().await;
+    let _server = peer_rpc::serve(reader.shared.clone()).await.expect("it listens");
+    for node in [&reader, &second] {
+        start_gossip(node).await;
+    }
+    second.shared.fleet().peers.add_address(second.shared.now(), reader.shared.settings.peer);
+    second.wait_until("it knows both servers", || usable(&second) == 2).await;
+    let draining = server(&two, RegistrationState::Draining, 2);
+    reader.store.restore(1, vec![server(&two, RegistrationState::Ready, 1), draining, config(4)]);
+    second
+        .wait_until("it knows the changes", || usable(&second) == 1 && version(&second) == Some(4))
+        .await;
+}
+
+/// Guards against a restored store that lacks this node, so that processes which start later do not find it.
+#[tokio::test]
+async fn node_is_announced_again_after_restore() {
+    let (one, two) = backends().await;
+    let gateway = gateway(&one, &two).await;
+    tokio::spawn(saved_state::run(gateway.shared.clone(), gateway.store.clone()));
+    let peer = gateway.shared.settings.peer.to_string();
+    let is_saved = || gateway.store.saved_contains(&format!("node/{peer}"), &peer);
+    gateway.wait_until("the node is announced", is_saved).await;
+    gateway.store.restore(2, Vec::new());
+    gateway.wait_until("the node is announced again", is_saved).await;
+}
+
+/// The first datagram of version 0.1: a status without an era.
+#[derive(Serialize)]
+enum OldDatagram {
+    Status {
+        start: u64,
+        entry: SocketAddr,
+        data_centre: String,
+        state: OldState,
+        config_version: u64,
+        registry_position: u64,
+        store_reachable: bool,
+    },
+}
+
+#[derive(Serialize)]
+enum OldState {
+    #[allow(dead_code, reason = "the order of the variants is the format")]
+    Starting,
+    Ready,
+}
+
+/// Guards against nodes that take those of the version before for lost while a fleet is replaced.
+#[tokio::test]
+async fn status_of_the_version_before_is_understood() {
+    let gateway = TestGateway::with_empty_store().await;
+    start_gossip(&gateway).await;
+    let old = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let status = OldDatagram::Status {
+        start: 7,
+        entry: gateway.entry,
+        data_centre: "a".into(),
+        state: OldState::Ready,
+        config_version: 0,
+        registry_position: 0,
+        store_reachable: true,
+    };
+    let bytes = postcard::to_allocvec(&status).expect("an encoded status");
+    old.send_to(&bytes, gateway.shared.settings.peer).await.expect("sent");
+    let is_live = || gateway.shared.fleet().peers.live_count(gateway.shared.now()) == 2;
+    gateway.wait_until("the old node is live", is_live).await;
+}
