Let the soak's store come back from an older copy

The new event takes the store away for up to 1.5 s, restores a copy 0.3 to 4 s old, and writes what the operator and the servers had written again within 2 s. Checks are unchanged; the store counts as disturbed until the records are back.

--- a/crates/node/tests/soak/events.rs
+++ b/crates/node/tests/soak/events.rs
@@ -40,6 +40,7 @@
     ServerMisbehaves,
     ServerCrash,
     ReuseAddress,
+    StoreComesBackOlder,
 }
 
 impl Event {
@@ -96,6 +97,7 @@
             Event::ServerMisbehaves => self.misbehave_server().await,
             Event::ServerCrash => self.crash_server().await,
             Event::ReuseAddress => self.reuse_address().await,
+            Event::StoreComesBackOlder => self.restore_store().await,
         }
     }
 }
@@ -204,6 +206,20 @@
         self.record.end_disturbance(disturbance);
     }
 
+    /// Takes the store away for a moment and restores a copy some seconds old. Its writers write again within 2 s.
+    async fn restore_store(&self) {
+        let copy = self.store.copy();
+        tokio::time::sleep(self.random_ms(300..4_000)).await;
+        let disturbance = self.record.start_disturbance(Component::Store);
+        self.store.set_mode(Mode::Reset);
+        tokio::time::sleep(self.random_ms(50..1_500)).await;
+        let lost = self.store.restore(&copy);
+        self.store.set_mode(Mode::Serve);
+        tokio::time::sleep(self.random_ms(0..2_000)).await;
+        self.store.write_again(lost);
+        self.record.end_disturbance(disturbance);
+    }
+
     fn with_link(&self, link_id: &LinkId, act: impl FnOnce(&Link)) {
         let state = self.state();
         match link_id {
