--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -27,5 +27,6 @@
 pub mod slot_leases;
 pub mod start_marks;
 pub mod stop_plan;
+pub mod stream_position;
 pub mod stream_watch;
 pub mod tracked_server;
--- a/crates/core/tests/leaving_server.rs
+++ b/crates/core/tests/leaving_server.rs
@@ -6,6 +6,7 @@
         registration::{Registration, RegistrationState, ServerId},
         server_registry::{RegistryOptions, ServerRegistry},
         start_marks::ServerStart,
+        stream_position::StreamPosition,
     },
     time::{Span, Timestamp},
 };
@@ -20,6 +21,10 @@
     Timestamp::ZERO + Span::from_secs(3_600) + Span::from_millis(millis)
 }
 
+fn offset(offset: u64) -> StreamPosition {
+    StreamPosition::new(0, offset)
+}
+
 fn id(number: u8) -> ServerId {
     ServerId(format!("i-{number}").into())
 }
@@ -43,7 +48,7 @@
     let mut registry = ServerRegistry::new(RegistryOptions::default());
     for number in 0..count {
         let registration = registration(number, READY, 5, 5);
-        registry.apply_record(at(0), &id(number), u64::from(number), Some(registration));
+        registry.apply_record(at(0), &id(number), offset(u64::from(number)), Some(registration));
     }
     let start = ServerStart::from(&registration(0, READY, 5, 5));
     assert!(registry.mark_leaving(at(0), &start));
@@ -59,7 +64,7 @@
 fn usable_after(records: &[Option<Registration>]) -> (bool, bool) {
     let mut registry = registry(2);
     for (position, record) in (10..).zip(records) {
-        registry.apply_record(at(1), &id(0), position, record.clone());
+        registry.apply_record(at(1), &id(0), offset(position), record.clone());
     }
     (is_usable(&registry, 1), is_usable(&registry, 60_000))
 }
@@ -86,8 +91,9 @@
 fn removed_and_inserted_start_still_leaves() {
     let mut registry = registry(2);
     registry.remove_displaced(&id(0));
-    let records = (0..2).map(|n| (registration(n, READY, 5, 6), 20 + u64::from(n))).collect();
-    registry.apply_snapshot(at(10), 30, records);
+    let records =
+        (0..2).map(|n| (registration(n, READY, 5, 6), offset(20 + u64::from(n)))).collect();
+    registry.apply_snapshot(at(10), offset(30), records);
     assert!(!is_usable(&registry, 10));
 }
 
@@ -103,7 +109,7 @@
 #[test]
 fn word_of_an_earlier_start_does_not_bind_the_new_one() {
     let mut registry = registry(2);
-    registry.apply_record(at(1), &id(0), 10, Some(registration(0, READY, 6, 1)));
+    registry.apply_record(at(1), &id(0), offset(10), Some(registration(0, READY, 6, 1)));
     registry.mark_leaving(at(2), &ServerStart::from(&registration(0, READY, 5, 5)));
     assert!(is_usable(&registry, 2));
 }
@@ -121,7 +127,7 @@
         assert!(is_usable(&registry, 1_000));
         registry.record_store_outage(at(1_400));
         if let Some(record) = record {
-            registry.apply_record(at(1_500), &id(0), 10, record);
+            registry.apply_record(at(1_500), &id(0), offset(10), record);
         }
         assert!(!is_usable(&registry, DRAIN_MS));
         assert!(registry.has_left(at(DRAIN_MS), &id(0)));
--- a/crates/core/tests/server_pause.rs
+++ b/crates/core/tests/server_pause.rs
@@ -9,6 +9,7 @@
         server_pause::{parse_pause, retry_after, MAX_PAUSE},
         server_registry::{RegistryOptions, ServerRegistry},
         start_marks::ServerStart,
+        stream_position::StreamPosition,
     },
     time::{Span, Timestamp},
 };
@@ -17,6 +18,10 @@
     Timestamp::ZERO + Span::from_secs(3_600) + Span::from_millis(millis)
 }
 
+fn offset(offset: u64) -> StreamPosition {
+    StreamPosition::new(0, offset)
+}
+
 fn registration(number: u8, started: u64) -> Registration {
     Registration {
         id: ServerId(format!("i-{number}").into()),
@@ -38,7 +43,7 @@
         let registration = registration(number, 1);
         let id = registration.id.clone();
         let start = ServerStart::from(&registration);
-        registry.apply_record(at(0), &id, u64::from(number), Some(registration));
+        registry.apply_record(at(0), &id, offset(u64::from(number)), Some(registration));
         if *pause > 0 {
             registry.record_pause(at(0), &start, Span::from_millis(*pause), draw);
         }
@@ -92,7 +97,7 @@
         let restarted = registration(0, started);
         let id = restarted.id.clone();
         registry.remove_displaced(&id);
-        registry.apply_record(at(10), &id, 10, Some(restarted));
+        registry.apply_record(at(10), &id, offset(10), Some(restarted));
         assert_eq!(usable(&registry, 20), expected);
     }
 }
