Give each gateway of the tests a loopback address of its own

A run of the whole workspace failed once: idempotent_request_is_hedged_when_server_is_silent, "Listen { code: AddressInUse, part: "entry", addr: 127.0.0.1:46039 }".

Cause: the fixture chooses a free port, releases it and binds it later. Other tests of the process open listeners and connections on 127.0.0.1 meanwhile, and their ports come from the same range. Nothing else uses the address that a gateway gets now. Checks are unchanged.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -25,9 +25,9 @@
 };
 use std::{
     collections::HashMap,
-    net::{SocketAddr, TcpListener as StdListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener as StdListener},
     sync::{
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicU32, AtomicU64, AtomicU8, Ordering},
         Arc, Mutex,
     },
     time::{Duration, Instant},
@@ -497,9 +497,13 @@
     pub(crate) entry: SocketAddr,
 }
 
-/// Returns distinct free addresses. All are held until the last is chosen, as a released port may be handed out again.
+/// Returns distinct free addresses on a loopback address that only this gateway uses. On a shared one, a connection or a
+/// listener of another test could take a port between its choice here and its use.
 fn free_addrs<const COUNT: usize>() -> [SocketAddr; COUNT] {
-    let listeners = [(); COUNT].map(|()| StdListener::bind("127.0.0.1:0").unwrap());
+    static GATEWAYS: AtomicU8 = AtomicU8::new(2);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, high, low, GATEWAYS.fetch_add(1, Ordering::SeqCst));
+    let listeners = [(); COUNT].map(|()| StdListener::bind((ip, 0)).unwrap());
     listeners.each_ref().map(|listener| listener.local_addr().unwrap())
 }
 
