Log what a fetch of newer registrations from another node returned

The DRAIN finding (a request to a server 2,991 ms after the store had acknowledged its leaving) could not be traced: no line said which node a list of registrations came from, what it covered and how long the call took. The line names the positions before and after it, whether it was a full list or changes, and how many.

--- a/crates/gateway/src/peer_rpc.rs
+++ b/crates/gateway/src/peer_rpc.rs
@@ -20,7 +20,7 @@
     version::routing_config::RoutingConfigDoc,
 };
 use serde::{Deserialize, Serialize};
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 /// The method that returns the state newer than the caller's.
 const NEWER_STATE: &str = "gateway.state";
@@ -113,6 +113,15 @@
     }
 }
 
+impl fmt::Display for RecordsDoc {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RecordsDoc::All(all) => write!(f, "all {}", all.len()),
+            RecordsDoc::Since(changes) => write!(f, "{} changes", changes.len()),
+        }
+    }
+}
+
 /// Returns the settings of a JSON-RPC server for calls between nodes: size limits, no batches, HTTP only.
 pub fn config(max_connections: u32) -> ServerConfig {
     ServerConfig::builder()
@@ -180,18 +189,24 @@
         0 => rpc_params![version, offset],
         _ => rpc_params![version, offset, era],
     };
+    let begun = shared.now();
     let response: std::result::Result<NewerStateDoc, _> = client.request(NEWER_STATE, params).await;
+    let ms = shared.now().since(begun).as_millis();
     match response {
         Ok(NewerStateDoc { routing_config, servers }) => {
             if let Some(doc) = routing_config {
                 shared.apply_config(&doc, "peer");
             }
             if let Some(servers) = servers {
+                let end = servers.end();
+                log::info!(target: "peers", peer:% = addr, before_era = era, before = offset,
+                    era = end.era, end = end.offset, ms, records:% = servers.records;
+                    "the node returned newer registrations");
                 servers.apply(&shared);
             }
         }
         Err(e) => {
-            log::warn!(target: "peers", peer:% = addr;
+            log::warn!(target: "peers", peer:% = addr, era, before = offset, ms;
                 "the node did not return its newer state: {e}");
         }
     }
