Relay changes of registrations only if every end is among them

Cause: a node that is behind takes the changes that another node relays as complete. Class: a partial history relayed as a full one.

Change: a registry knows since which position it holds every end (`RelayableChanges`), keeps the ends of servers that it does not hold, and sends the full list where its changes would be incomplete.

Evidence: on the code before, end_of_a_server_is_relayed_by_a_node_that_started_after_it, ..._that_removed_it, every_relaying_node_leads_to_the_same_servers and node_hears_of_a_leaving_from_a_node_that_started_after_it failed; they pass now.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -20,6 +20,7 @@
 pub mod readmission;
 pub mod recent_ranks;
 pub mod registration;
+mod relayable_changes;
 pub mod server_pause;
 pub mod server_registry;
 pub mod service_leader;
--- a/crates/core/src/process/server_registry.rs
+++ b/crates/core/src/process/server_registry.rs
@@ -8,6 +8,7 @@
         leaving_servers::LeavingServers,
         recent_ranks::RecentRanks,
         registration::{Registration, RegistrationState, ServerId},
+        relayable_changes::RelayableChanges,
         server_pause::ServerPauses,
         service_outcomes::{OutcomeCounts, ServiceOutcomes},
         start_marks::ServerStart,
@@ -95,8 +96,7 @@
     leaving: LeavingServers,
     pauses: ServerPauses,
     last_store_outage: Option<Timestamp>,
-    /// Ended registrations below this position may have been removed.
-    pruned_to: StreamPosition,
+    changes: RelayableChanges,
     /// The era of the newest snapshot. Records of earlier eras are outdated.
     era: u64,
 }
@@ -118,7 +118,7 @@
             leaving: LeavingServers::default(),
             pauses: ServerPauses::default(),
             last_store_outage: None,
-            pruned_to: StreamPosition::default(),
+            changes: RelayableChanges::default(),
             era: 0,
         }
     }
@@ -139,10 +139,11 @@
         registered.map(|s| (s.registration.clone(), s.position)).collect()
     }
 
-    /// Returns the records at or after `position`, or `None` if ended registrations since then were already removed or
-    /// `position` is of another era, whose offsets say nothing about the records of this one.
+    /// Returns the records at or after `position`, or `None` if registrations may have ended since then of which this
+    /// registry has no record, or if `position` is of another era, whose offsets say nothing about the records of this
+    /// one. The asking node then needs the full list.
     pub fn changes_since(&self, position: StreamPosition) -> Option<Vec<ServerRecord>> {
-        if position.era != self.era || position < self.pruned_to {
+        if position.era != self.era || !self.changes.are_complete_since(position) {
             return None;
         }
         let changed = self.servers.iter().filter(|(_, s)| s.position >= position);
@@ -150,7 +151,8 @@
             let registration = (s.presence != Presence::Ended).then(|| s.registration.clone());
             (id.clone(), s.position, registration)
         };
-        Some(changed.map(record).collect())
+        let unknown_ends = self.changes.unknown_ends(position).map(|(id, end)| (id, end, None));
+        Some(changed.map(record).chain(unknown_ends).collect())
     }
 
     /// Records that the store did not respond at `now`. Registrations that end around this time may only have lapsed.
@@ -173,7 +175,20 @@
         if position.era < self.era {
             return Change::Nothing;
         }
-        let Some(registration) = registration else { return self.end(now, id, position) };
+        self.changes.record_applied(position);
+        match registration {
+            Some(registration) => self.register(now, id, position, registration),
+            None => self.end(now, id, position),
+        }
+    }
+
+    fn register(
+        &mut self,
+        now: Timestamp,
+        id: &ServerId,
+        position: StreamPosition,
+        registration: Registration,
+    ) -> Change {
         let Some(server) = self.servers.get_mut(id) else {
             self.insert(now, position, registration);
             return Change::Joined;
@@ -249,9 +264,10 @@
             }
             changes.push((id, change));
         }
+        self.changes.record_snapshot(end);
         for (registration, position) in records {
             let id = registration.id.clone();
-            let change = self.apply_record(now, &id, position, Some(registration));
+            let change = self.register(now, &id, position, registration);
             changes.push((id, change));
         }
         changes.retain(|(_, change)| *change != Change::Nothing);
@@ -259,7 +275,10 @@
     }
 
     fn end(&mut self, now: Timestamp, id: &ServerId, position: StreamPosition) -> Change {
-        let Some(server) = self.servers.get_mut(id) else { return Change::Nothing };
+        let Some(server) = self.servers.get_mut(id) else {
+            self.changes.record_unknown_end(now, id, position);
+            return Change::Nothing;
+        };
         if position < server.position {
             return Change::Nothing;
         }
@@ -274,6 +293,7 @@
 
     fn insert(&mut self, now: Timestamp, position: StreamPosition, registration: Registration) {
         let id = registration.id.clone();
+        self.changes.remove_unknown_end(&id);
         self.by_tag.insert(id.tag(), id.clone());
         self.by_service.entry(registration.service.clone()).or_default().push(id.clone());
         let server = TrackedServer {
@@ -309,11 +329,19 @@
 
     /// Removes a server whose address now belongs to another server. A newer record of it adds it again.
     pub fn remove_displaced(&mut self, id: &ServerId) {
+        match self.servers.get(id) {
+            Some(server) if server.presence == Presence::Ended => {
+                self.changes.record_unknown_end(server.presence_since, id, server.position);
+            }
+            Some(_) => self.changes.record_removal(),
+            None => {}
+        }
         self.remove(id);
     }
 
     /// Removes servers whose registration ended more than 120 s ago.
     pub fn tick(&mut self, now: Timestamp) {
+        self.changes.prune(now, ENDED_RETENTION);
         let old: Vec<ServerId> = self
             .servers
             .iter()
@@ -323,9 +351,9 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in old {
-            let position =
-                self.servers.get(&id).map_or_else(StreamPosition::default, |s| s.position.next());
-            self.pruned_to = self.pruned_to.max(position);
+            if let Some(server) = self.servers.get(&id) {
+                self.changes.record_pruned(server.position);
+            }
             self.remove(&id);
         }
         self.pauses.tick(now);
--- a/crates/core/tests/restored_store.rs
+++ b/crates/core/tests/restored_store.rs
@@ -144,12 +144,16 @@
     assert_eq!(usable(&registry, at(30)), 1);
 }
 
-/// Guards against changes that a peer of an earlier era takes for all that it lacks.
+/// Guards against changes that a peer takes for all that it lacks, although it knows only an earlier era or a part of
+/// what the snapshot of the restored store covers.
 #[test]
-fn peer_of_an_earlier_era_gets_all_registrations() {
+fn peer_from_before_the_snapshot_of_the_restored_store_gets_all_registrations() {
     let mut registry = registry(&[Some((READY, 1, 5))]);
-    registry.apply_snapshot(at(10), after(20), Vec::new());
+    registry.apply_snapshot(at(10), after(20), vec![(registration(1, (READY, 1, 1)), after(3))]);
     assert_eq!(registry.changes_since(before(25)), None);
-    let ended = registry.changes_since(after(0)).expect("the changes of this era");
-    assert_eq!(ended, [(id(0), after(19), None)]);
+    assert_eq!(registry.changes_since(after(0)), None);
+    assert_eq!(registry.changes_since(after(20)), Some(Vec::new()));
+    registry.apply_record(at(20), &id(1), after(20), None);
+    let ended = registry.changes_since(after(20)).expect("the changes since the snapshot");
+    assert_eq!(ended, [(id(1), after(20), None)]);
 }
--- a/crates/core/tests/server_registry.rs
+++ b/crates/core/tests/server_registry.rs
@@ -525,3 +525,95 @@
         assert_eq!(there.unserved_share(at(millis), &orders), expected, "{millis}");
     }
 }
+
+/// Brings `to`, which knows all records before `known`, up to the records before `end` that `from` knows, like a node
+/// that asks another one.
+fn relay(from: &ServerRegistry, to: &mut ServerRegistry, known: u64, end: u64) {
+    match from.changes_since(offset(known)).filter(|_| known > 0) {
+        Some(records) => {
+            for (id, position, registration) in records {
+                to.apply_record(at(end), &id, position, registration);
+            }
+        }
+        None => drop(to.apply_snapshot(at(end), offset(end), from.registrations())),
+    }
+}
+
+/// Guards against a server that stays in use because the node that relays its end started after it.
+#[test]
+fn end_of_a_server_is_relayed_by_a_node_that_started_after_it() {
+    let mut behind = registry(3);
+    let mut started = ServerRegistry::new(RegistryOptions::default());
+    started.apply_snapshot(
+        at(1_000),
+        offset(4),
+        vec![(ready(0), offset(0)), (ready(2), offset(2))],
+    );
+    relay(&started, &mut behind, 3, 4);
+    assert_eq!(usable(&behind, at(5_000)), 2);
+}
+
+/// Guards against a server that stays in use because the node that relays its end had removed it before.
+#[test]
+fn end_of_a_server_is_relayed_by_a_node_that_removed_it() {
+    for is_removed_first in [true, false] {
+        let (mut behind, mut relaying) = (registry(3), registry(3));
+        if is_removed_first {
+            relaying.remove_displaced(&id(1));
+        }
+        relaying.apply_record(at(1_000), &id(1), offset(3), None);
+        relaying.remove_displaced(&id(1));
+        relay(&relaying, &mut behind, 3, 4);
+        assert_eq!(usable(&behind, at(5_000)), 2, "removed first: {is_removed_first}");
+    }
+}
+
+/// Guards against a full list to every node of a fleet because one of them started.
+#[test]
+fn node_that_got_a_full_list_relays_changes() {
+    let mut behind = registry(3);
+    behind.apply_snapshot(at(1_000), offset(4), vec![(ready(0), offset(0)), (ready(2), offset(2))]);
+    let changes = behind.changes_since(offset(3)).expect("it knew every server before the list");
+    assert_eq!(changes, [(id(1), offset(3), None)]);
+}
+
+/// Guards against nodes that start, remove servers or skip records and then relay less than they know.
+#[test]
+fn every_relaying_node_leads_to_the_same_servers() {
+    fn check(steps: Vec<Step>) -> bool {
+        let new = || ServerRegistry::new(RegistryOptions::default());
+        let (mut store, mut relaying, mut behind) = (new(), new(), new());
+        let (mut is_cut, mut known) = (false, 0);
+        for (position, step) in (0u64..).zip(steps) {
+            let end = position + 1;
+            let state = if step.kind == 0 { READY } else { DRAINING };
+            let record =
+                (step.kind < 2).then(|| registration(step.server, state, end, step.report.into()));
+            store.apply_record(at(position), &id(step.server), offset(position), record.clone());
+            match step.report {
+                0 => is_cut = true,
+                1 => relaying = new(),
+                2 => relaying.remove_displaced(&id(step.started)),
+                _ => {}
+            }
+            if step.report == 1 || (is_cut && step.report > 3) {
+                relaying.apply_snapshot(at(position), offset(end), store.registrations());
+                is_cut = false;
+            } else if !is_cut {
+                relaying.apply_record(at(position), &id(step.server), offset(position), record);
+            }
+            if !is_cut && step.started == 0 {
+                relay(&relaying, &mut behind, known, end);
+                known = end;
+                let listed = store.registrations();
+                let is_listed = |id: &ServerId| listed.iter().any(|(r, _)| r.id == *id);
+                if behind.registrations().iter().any(|(r, _)| !is_listed(&r.id)) {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+    let gen = Gen::from_size_and_seed(40, 0x726f_7374);
+    QuickCheck::new().rng(gen).tests(2_000).quickcheck(check as fn(Vec<Step>) -> bool);
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -118,7 +118,18 @@
 
 impl Store for MemoryStore {
     async fn read_newest(&self, stream: Stream) -> Result<Batch, StoreError> {
-        self.read(stream, 0)
+        let Batch { records, end } = self.read(stream, 0)?;
+        let mut newest = HashMap::new();
+        for (position, record) in records {
+            let key = match &record {
+                Record::Server(id, _) => Some(id.clone()),
+                _ => None,
+            };
+            newest.insert(key, (position, record));
+        }
+        let has_value = |record: &Record| !matches!(record, Record::Server(_, None));
+        let records = newest.into_values().filter(|(_, record)| has_value(record)).collect();
+        Ok(Batch { records, end })
     }
 
     async fn watch(&self, stream: Stream, from: u64, wait: Duration) -> Result<Batch, StoreError> {
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -2,9 +2,15 @@
 
 mod common;
 
-use common::{post, Backend, Behaviour, TestGateway};
-use redwingtrestle_core::process::registration::RegistrationState;
-use redwingtrestle_gateway::{peer_rpc, saved_state};
+use common::{post, routing_config, Backend, Behaviour, MemoryStore, TestGateway};
+use redwingtrestle_core::process::{
+    registration::{RegistrationState, ServerId},
+    stream_position::StreamPosition,
+};
+use redwingtrestle_gateway::{
+    peer_rpc, saved_state,
+    store::{Record, Stream},
+};
 
 /// Guards against a node without a response from the store that gets no state from a peer, or only the first time.
 #[tokio::test]
@@ -33,6 +39,33 @@
     assert_eq!(position, informed.shared.fleet().server_watch.position());
 }
 
+/// Guards against requests to a server that left, at a node that hears of it from one that started after the leaving.
+#[tokio::test]
+async fn node_hears_of_a_leaving_from_a_node_that_started_after_it() {
+    let (one, two) = (
+        Backend::start("i-1", Behaviour::Serve).await,
+        Backend::start("i-2", Behaviour::Serve).await,
+    );
+    let behind = TestGateway::with_servers(&[&one, &two]).await;
+    let store = MemoryStore::default();
+    store.append(Stream::Configuration, Record::RoutingConfig(Box::new(routing_config(1))));
+    for backend in [&one, &two] {
+        store.register(backend.registration(RegistrationState::Ready, 1));
+    }
+    store.append(Stream::Servers, Record::Server(ServerId("i-1".into()), None));
+    let started = TestGateway::with_store(store).await;
+    let position = |gateway: &TestGateway| gateway.shared.fleet().server_watch.position();
+    let end = StreamPosition::new(0, 3);
+    started.wait_until("it has read the store", || position(&started) == Some(end)).await;
+    let _server = peer_rpc::serve(started.shared.clone()).await.expect("it listens");
+    peer_rpc::fetch(behind.shared.clone(), started.shared.settings.peer).await;
+    assert_eq!(position(&behind), Some(end));
+    for i in 0..10 {
+        assert_eq!(behind.call(&post(&format!("r{i}"))).await.status, 200);
+    }
+    assert_eq!((one.received().len(), two.received().len()), (0, 10));
+}
+
 /// Guards against restarted processes that send their first orders to servers that were known to be failing.
 #[tokio::test]
 async fn new_process_restores_failing_servers() {
