--- a/crates/core/src/process/relayable_changes.rs
+++ b/crates/core/src/process/relayable_changes.rs
@@ -73,6 +73,13 @@
         self.unknown_ends.insert(id.clone(), end);
     }
 
+    /// Returns whether a server that the registry does not hold ended after the record at `position`. The newest
+    /// snapshot would list it otherwise; a list that a peer sends may arrive after that snapshot.
+    pub(super) fn has_ended(&self, id: &ServerId, position: StreamPosition) -> bool {
+        let is_end_known = self.unknown_ends.get(id).is_some_and(|end| end.position > position);
+        is_end_known || position < self.skipped.end
+    }
+
     /// Forgets the end of a server that registered again.
     pub(super) fn remove_unknown_end(&mut self, id: &ServerId) {
         self.unknown_ends.remove(id);
--- a/crates/core/src/process/server_registry.rs
+++ b/crates/core/src/process/server_registry.rs
@@ -176,6 +176,9 @@
             return Change::Nothing;
         }
         self.changes.record_applied(position);
+        if !self.servers.contains_key(id) && self.changes.has_ended(id, position) {
+            return Change::Nothing;
+        }
         match registration {
             Some(registration) => self.register(now, id, position, registration),
             None => self.end(now, id, position),
@@ -264,8 +267,13 @@
             }
             changes.push((id, change));
         }
+        let is_current = |(r, position): &(Registration, StreamPosition)| {
+            self.servers.contains_key(&r.id) || !self.changes.has_ended(&r.id, *position)
+        };
+        let current: Vec<(Registration, StreamPosition)> =
+            records.into_iter().filter(is_current).collect();
         self.changes.record_snapshot(end);
-        for (registration, position) in records {
+        for (registration, position) in current {
             let id = registration.id.clone();
             let change = self.register(now, &id, position, registration);
             changes.push((id, change));
--- a/crates/core/tests/server_registry.rs
+++ b/crates/core/tests/server_registry.rs
@@ -617,3 +617,14 @@
     let gen = Gen::from_size_and_seed(40, 0x726f_7374);
     QuickCheck::new().rng(gen).tests(2_000).quickcheck(check as fn(Vec<Step>) -> bool);
 }
+
+/// Guards against a server that is used again because an older list or record arrives after a newer snapshot.
+#[test]
+fn older_state_does_not_restore_a_server_that_a_snapshot_ended() {
+    let mut registry = ServerRegistry::new(RegistryOptions::default());
+    registry.apply_snapshot(at(0), offset(6), vec![(ready(0), offset(0))]);
+    registry.apply_snapshot(at(1), offset(4), vec![(ready(0), offset(0)), (ready(1), offset(1))]);
+    assert_eq!(usable(&registry, at(5_000)), 1, "after the list");
+    assert_eq!(registry.apply_record(at(2), &id(2), offset(2), Some(ready(2))), Change::Nothing);
+    assert_eq!(registry.apply_record(at(3), &id(1), offset(6), Some(ready(1))), Change::Joined);
+}
