Keep no connection after a refusal without the attempt's id

Callers saw: an order got 502 (may have run) although its server had refused it, and no other server was tried.

Cause: "Believe a refusal only if it provably belongs to the attempt" believes a refusal without an id only on a new connection, and then kept that connection for the next request. The next refusal without an id there could not be believed.

Change: such a connection is closed. A server that never sends ids in refusals is then asked on a new connection after each refusal.

Evidence: server_that_refuses_without_an_id_is_believed_each_time failed before at its second request (502); all tests of the gateway pass now.

--- a/crates/gateway/src/server_send.rs
+++ b/crates/gateway/src/server_send.rs
@@ -272,7 +272,9 @@
     // A server may repeat the refusal of an earlier request on a reused connection. Only the id tells them apart.
     let is_proven = is_own || (id.is_none() && !was_reused);
     if (is_marked || is_misdirected) && is_proven {
-        return handle_refusal(in_flight, is_misdirected, body, connection);
+        // A refusal without an id could not be believed on this connection again.
+        let kept = is_own.then_some(connection);
+        return handle_refusal(in_flight, is_misdirected, body, kept);
     }
     let is_signed = head.headers.contains_key(&header_names.signature);
     // Nobody asks for another protocol, so 101 is no response.
@@ -335,18 +337,20 @@
     }
 }
 
-/// Records a refusal. The request can go to another server at once, so the rest of the response is read in the background.
+/// Records a refusal. The request can go to another server at once, so the rest of the response is read in the background
+/// before the connection, if it is to be kept, is used again.
 fn handle_refusal(
     mut in_flight: InFlightSend,
     is_misdirected: bool,
     body: Incoming,
-    connection: ServerConnection,
+    kept: Option<ServerConnection>,
 ) -> SendResult {
     if is_misdirected {
         in_flight.remove_displaced_server();
         return SendResult::NotRun(NotRunReason::Misdirected);
     }
     in_flight.record_refusal();
+    let Some(connection) = kept else { return SendResult::NotRun(NotRunReason::Shed) };
     let returns = in_flight.connection_return();
     tokio::spawn(async move {
         let rest = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, buffer_body(body)).await;
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -66,6 +66,16 @@
     }
 }
 
+/// Guards against a refusal without an id that is not believed because the connection of an earlier one was kept.
+#[tokio::test]
+async fn server_that_refuses_without_an_id_is_believed_each_time() {
+    let full = Backend::start("i-1", Behaviour::Shed).await;
+    let gateway = TestGateway::with_servers(&[&full]).await;
+    for i in 0..5 {
+        assert_eq!(gateway.call(&post(&format!("r{i}"))).await.status, 503, "request {i}");
+    }
+}
+
 /// Guards against a refusal without `Retry-After`, and against trying more servers than the route allows.
 #[tokio::test]
 async fn refusal_has_retry_after_and_respects_route_attempts() {
