Let the soak's callers go on until the last event has ended

Cause: the callers ended at a time that was fixed before the events began, 4 s after the last one could begin. Since a server may say for up to 4 s that it leaves before its registration does, and a store may be copied up to 4 s before its restore, an event can last 8 s; the check of the recovery then begins when all callers have ended.

Change: callers and supervisor run until the check's time is over, so that the 2 s after the recovery are always served. No bound is changed.

--- a/crates/node/tests/soak/caller.rs
+++ b/crates/node/tests/soak/caller.rs
@@ -15,7 +15,10 @@
     collections::HashMap,
     convert::Infallible,
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
     time::{Duration, Instant},
 };
 use tokio::net::TcpStream;
@@ -61,13 +64,13 @@
 type Sender = SendRequest<RequestBody>;
 
 impl Caller {
-    /// Sends requests until the given time.
-    pub async fn run(mut self, until: Instant) {
+    /// Sends requests until the run is over.
+    pub async fn run(mut self, is_over: Arc<AtomicBool>) {
         let mut connections: HashMap<SocketAddr, Sender> = HashMap::new();
         let mut entries: Vec<SocketAddr> = Vec::new();
         let mut last_lookup: Option<Instant> = None;
         let mut number = 0;
-        while Instant::now() < until {
+        while !is_over.load(Ordering::SeqCst) {
             if last_lookup.is_none_or(|at| at.elapsed() > ENTRIES_TTL) {
                 if let Some(fetched) = self.fetch_entries().await {
                     entries = fetched;
--- a/crates/node/tests/soak/events.rs
+++ b/crates/node/tests/soak/events.rs
@@ -12,7 +12,10 @@
 use redwingtrestle_core::process::registration::{RegistrationState, ServerId};
 use redwingtrestle_platform_fakes::store::Mode;
 use rustix::process::Signal;
-use std::time::{Duration, Instant};
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    time::{Duration, Instant},
+};
 use strum::IntoEnumIterator;
 
 /// The probability that an event is a misbehaving server, before all kinds are drawn evenly.
@@ -140,9 +143,9 @@
     }
 
     /// Restarts processes that exit unexpectedly, and returns a violation for each of them.
-    pub async fn supervise(&self, until: Instant) -> Vec<String> {
+    pub async fn supervise(&self, is_over: &AtomicBool) -> Vec<String> {
         let mut found = Vec::new();
-        while Instant::now() < until {
+        while !is_over.load(Ordering::SeqCst) {
             for node in &mut self.state().nodes {
                 if node.signalled_start != node.start_number && node.has_ended() {
                     found.push(format!(
--- a/crates/node/tests/soak/run.rs
+++ b/crates/node/tests/soak/run.rs
@@ -5,7 +5,7 @@
     checks::{self, Draining, RouteHistory},
     events::Event,
     link::Link,
-    process::{fleet_ips, Node, STOP_MS},
+    process::{fleet_ips, Node},
     record::Record,
     server::Server,
 };
@@ -19,7 +19,10 @@
 use redwingtrestle_platform_fakes::store::Store;
 use std::{
     path::{Path, PathBuf},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+    },
     time::{Duration, Instant},
 };
 use tokio::task::JoinSet;
@@ -210,7 +213,7 @@
     pub async fn execute(self: &Arc<Self>, seed: u64) -> Report {
         let started = Instant::now();
         let until = started + self.size.time;
-        let end = until + RECOVERY + SERVING_TIME + Duration::from_millis(STOP_MS);
+        let is_over: Arc<AtomicBool> = Arc::default();
         let mut callers = JoinSet::new();
         let endpoints: Vec<NodeEndpoints> = self.state().nodes.iter().map(endpoints).collect();
         for number in 0..self.size.callers {
@@ -221,10 +224,11 @@
                 rng: StdRng::seed_from_u64(seed ^ (number as u64 + 1) << 32),
                 client: self.client.clone(),
             };
-            callers.spawn(caller.run(end));
+            callers.spawn(caller.run(is_over.clone()));
         }
         let run = self.clone();
-        let supervisor = tokio::spawn(async move { run.supervise(end).await });
+        let supervised = is_over.clone();
+        let supervisor = tokio::spawn(async move { run.supervise(&supervised).await });
         let mut events = JoinSet::new();
         while Instant::now() < until {
             let event = Event::random(&mut self.state().rng);
@@ -236,6 +240,8 @@
         self.wait_until_ready().await;
         tokio::time::sleep(RECOVERY).await;
         let calm_start = Instant::now();
+        tokio::time::sleep(SERVING_TIME).await;
+        is_over.store(true, Ordering::SeqCst);
         while callers.join_next().await.is_some() {}
         let unexpected_exits = supervisor.await.expect("the supervisor ends");
         let state = self.state();
