Let the soak's servers ask for pauses, and some callers keep their connections

A server may turn requests away with Retry-After: 2. New check: from half a second after that until its end, a server gets at most two requests from a node that was neither restarted nor frozen nor cut off. A third of the callers go on using open connections to entries that the directory names no more.

--- a/crates/node/tests/soak/caller.rs
+++ b/crates/node/tests/soak/caller.rs
@@ -58,6 +58,9 @@
     pub record: Arc<Record>,
     pub rng: StdRng,
     pub client: reqwest::Client,
+    /// Whether the caller uses its open connections as long as the entries keep them open, also those to entries that
+    /// the directory does not name any more.
+    pub keeps_connections: bool,
 }
 
 type RequestBody = UnsyncBoxBody<Bytes, Infallible>;
@@ -74,6 +77,10 @@
             if last_lookup.is_none_or(|at| at.elapsed() > ENTRIES_TTL) {
                 if let Some(fetched) = self.fetch_entries().await {
                     entries = fetched;
+                    if self.keeps_connections {
+                        let kept = connections.keys().filter(|entry| !entries.contains(entry));
+                        entries.extend(kept.copied().collect::<Vec<_>>());
+                    }
                     connections.retain(|entry, _| entries.contains(entry));
                 }
                 last_lookup = Some(Instant::now());
--- a/crates/node/tests/soak/checks.rs
+++ b/crates/node/tests/soak/checks.rs
@@ -29,6 +29,11 @@
 /// from this node.
 const LEAVING_BOUND: Duration = Duration::from_millis(2_000);
 
+/// A server that asked a node for a pause may still get requests from it for this long, and then up to
+/// `MAX_SENDS_IN_PAUSE` until the pause ends.
+const PAUSE_BOUND: Duration = Duration::from_millis(500);
+const MAX_SENDS_IN_PAUSE: usize = 2;
+
 /// The deadline that callers declare for their requests.
 const DEADLINE: Duration = Duration::from_millis(2_500);
 
@@ -55,6 +60,7 @@
         .collect();
     let requests = record.requests();
     found.extend(reached_after_leaving(record, &requests));
+    found.extend(reached_in_pause(record, &requests));
     for (id, request, arrivals) in requests {
         let faults = [
             run_twice(&request, &arrivals),
@@ -269,6 +275,36 @@
     found
 }
 
+/// A restart, a freeze or a cut of the node during the pause excuses it, and so does a cut of the server, as the node may
+/// not have got the response.
+fn reached_in_pause(record: &Record, requests: &[RecordedRequest]) -> Vec<String> {
+    let arrivals = || {
+        requests.iter().flat_map(|(_, request, arrivals)| {
+            arrivals.iter().map(|arrival| (request.node, arrival))
+        })
+    };
+    let mut found = Vec::new();
+    for (node, refused) in arrivals() {
+        let Some(pause) = refused.pause else { continue };
+        let window = refused.at + PAUSE_BOUND..refused.at + pause;
+        let count = arrivals()
+            .filter(|(from, a)| {
+                *from == node && a.server == refused.server && window.contains(&a.at)
+            })
+            .count();
+        let components = [Component::Node(node), Component::Server(refused.server.clone())];
+        let is_excused = record.was_restarted(node, refused.at, window.end)
+            || !record.was_undisturbed(&components, refused.at, window.end, Duration::ZERO);
+        if count > MAX_SENDS_IN_PAUSE && !is_excused {
+            found.push(format!(
+                "{} got {count} requests from {node} in the pause of {pause:?} that it had asked for",
+                refused.server
+            ));
+        }
+    }
+    found
+}
+
 /// Returns the served share of the requests sent after `from`, and their number, without those whose caller
 /// disconnected.
 pub fn served_since(record: &Record, from: Instant) -> (f64, usize) {
--- a/crates/node/tests/soak/events.rs
+++ b/crates/node/tests/soak/events.rs
@@ -287,7 +287,7 @@
 
     async fn misbehave_server(&self) {
         let id = self.random_server();
-        let behaviour = match self.state().rng.random_range(0..10) {
+        let behaviour = match self.state().rng.random_range(0..11) {
             0 => Behaviour::Fail,
             1 => Behaviour::Shed,
             2 => Behaviour::FailUnmarked,
@@ -297,7 +297,8 @@
             6 => Behaviour::WrongId,
             7 => Behaviour::Hang,
             8 => Behaviour::RepeatRefusal,
-            _ => Behaviour::CutHead,
+            9 => Behaviour::CutHead,
+            _ => Behaviour::AskForPause,
         };
         let set = |behaviour| {
             let state = self.state();
--- a/crates/node/tests/soak/record.rs
+++ b/crates/node/tests/soak/record.rs
@@ -52,6 +52,8 @@
     pub response: Option<(u16, String)>,
     /// Whether the response says that the server leaves.
     pub says_leaving: bool,
+    /// The pause that the server asked for when it turned the request away.
+    pub pause: Option<Duration>,
     /// When the work ended, also if the connection closed before that.
     pub ended: Option<Instant>,
 }
--- a/crates/node/tests/soak/run.rs
+++ b/crates/node/tests/soak/run.rs
@@ -223,6 +223,7 @@
                 record: self.record.clone(),
                 rng: StdRng::seed_from_u64(seed ^ (number as u64 + 1) << 32),
                 client: self.client.clone(),
+                keeps_connections: number % 3 == 0,
             };
             callers.spawn(caller.run(is_over.clone()));
         }
--- a/crates/node/tests/soak/server.rs
+++ b/crates/node/tests/soak/server.rs
@@ -47,8 +47,13 @@
     RepeatRefusal,
     /// Runs requests and closes the connection in the middle of the response's head.
     CutHead,
+    /// Refuses requests as [`Shed`](Self::Shed) does, and asks for a pause of `PAUSE`.
+    AskForPause,
 }
 
+/// How long a server that asks for a pause wants no requests from a node.
+const PAUSE: Duration = Duration::from_secs(2);
+
 /// A request takes `WORK`, but about one in `LONG_EACH` takes `LONG_WORK`, so that some are still open when their caller
 /// disconnects or their node stops.
 const WORK: Duration = Duration::from_millis(15);
@@ -197,7 +202,9 @@
     let notice =
         if says_leaving { format!("{}: 1\r\n", header_names().leaving) } else { String::new() };
     let is_for_this_server = request.target.is_empty() || request.target == identity.id;
-    let was_run = is_for_this_server && behaviour != Behaviour::Shed;
+    let refuses = matches!(behaviour, Behaviour::Shed | Behaviour::AskForPause);
+    let was_run = is_for_this_server && !refuses;
+    let asks_for_pause = is_for_this_server && behaviour == Behaviour::AskForPause;
     let number = identity.record.add_arrival(
         &request.id,
         Arrival {
@@ -209,11 +216,16 @@
             was_run,
             response: None,
             says_leaving,
+            pause: asks_for_pause.then_some(PAUSE),
             ended: None,
         },
     );
     if !was_run {
         let status = if is_for_this_server { 503 } else { 421 };
+        let notice = match asks_for_pause {
+            true => format!("{notice}Retry-After: {}\r\n", PAUSE.as_secs()),
+            false => notice,
+        };
         return socket.write_all(&encode_refusal(status, &request.id, &notice)).await.is_ok();
     }
     let signature = format!("{}.{number}.{}", identity.id, identity.service);
