Split the membership into modules of one job each

Rendezvous hashing has a module of its own, as drains, leaders and the configuration use it, too.

No rule changes.

--- a/crates/core/src/process/drain.rs
+++ b/crates/core/src/process/drain.rs
@@ -4,7 +4,7 @@
     ids::{NodeId, ServerAddr},
     invariant,
     invariant::Invariant,
-    process::membership::rendezvous,
+    process::rendezvous::rendezvous,
     time::{Span, Timestamp},
     version::spec::Spec,
 };
--- a/crates/core/src/process/leader_assignment.rs
+++ b/crates/core/src/process/leader_assignment.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     ids::{NodeId, ServiceName},
-    process::membership::rendezvous,
+    process::rendezvous::rendezvous,
 };
 use std::collections::BTreeMap;
 
--- a/crates/core/src/version/config_state.rs
+++ b/crates/core/src/version/config_state.rs
@@ -7,7 +7,7 @@
     ids::{DataCentre, NodeId, Region, ServiceName, Version},
     invariant,
     invariant::Invariant,
-    process::membership::rendezvous,
+    process::rendezvous::rendezvous,
     version::spec::Spec,
 };
 use std::{collections::BTreeMap, fmt, sync::Arc};
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -20,9 +20,8 @@
         evidence::EvidenceReport,
         heartbeat::{self, NodeAddresses, NodeState, MAX_DRAINS},
         leader_assignment,
-        membership::{
-            rendezvous, LocalNode, Member, MemberEvent, Membership, MembershipOptions, VmEntry,
-        },
+        membership::{LocalNode, Member, MemberEvent, Membership, MembershipOptions, VmEntry},
+        rendezvous::rendezvous,
         slot_leases::DemandReport,
     },
     time::{Span, Timestamp},
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -10,7 +10,7 @@
 use redwingtrestle_core::{
     codes::ResultCode,
     ids::NodeId,
-    process::membership::rendezvous,
+    process::rendezvous::rendezvous,
     request::handover::Handover,
     time::{Span, Timestamp},
 };
