Keep the new start of a server that a late response says has moved

Callers would see: a service with one server fewer, or none, until that server registers again, which it does only when something other than its report changes.

Cause: a 421 removed the server with the id of the send, whatever its registration was by then. If the server had started again at another address since the request was sent, its new start was removed, and this node's full lists lacked it too, which other nodes take as its end.

Change: the removal compares the start that the request was sent to, as the marks of leaving and pausing servers do. The test failed before: "the new start was removed".

--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -86,12 +86,20 @@
         self.shared.fleet().registry.has_left(self.shared.now(), &self.id)
     }
 
-    /// Removes the server because its address now belongs to another one.
+    /// Removes the server because its address now belongs to another one. If it has started again since the request was
+    /// sent, the response says nothing about its new address.
     pub fn remove_displaced_server(&self) {
+        {
+            let registry = &mut self.shared.fleet().registry;
+            let current = registry.server(&self.id).map(|s| ServerStart::from(s.registration()));
+            if current != self.start {
+                return;
+            }
+            registry.remove_displaced(&self.id);
+        }
+        self.shared.pool.close_idle(&self.id);
         log::info!(target: "servers", server = self.server(), attempt = self.attempt();
             "the address belongs to another server now, the server gets no more requests");
-        self.shared.fleet().registry.remove_displaced(&self.id);
-        self.shared.pool.close_idle(&self.id);
     }
 
     /// Records a good response, unless it was slow: a slow one is no evidence of health.
--- a/crates/gateway/tests/faulty_responses.rs
+++ b/crates/gateway/tests/faulty_responses.rs
@@ -6,7 +6,7 @@
 use common::{
     get, post,
     scripted::{refusal, success, ScriptedServer, Step, Turn},
-    Backend, Behaviour, Reply, TestGateway,
+    Backend, Behaviour, Caller, Reply, TestGateway,
 };
 use redwingtrestle_core::process::registration::{Registration, RegistrationState};
 use std::{
@@ -452,3 +452,27 @@
         assert_eq!((reply.status, reply.body.as_slice()), (200, b"ok".as_slice()));
     }
 }
+
+/// Guards against a server that is out of use for good because a late response from its former address removes it.
+#[tokio::test]
+async fn late_misdirected_response_does_not_remove_new_start() {
+    let misdirected = "HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n";
+    let former =
+        ScriptedServer::start("i-1", move |_| vec![Step::Pause(300), Step::text(misdirected)])
+            .await;
+    let gateway = start(&former, &[]).await;
+    let mut caller = Caller::connect(gateway.entry).await;
+    caller.send(&post("r1")).await;
+    gateway.wait_until("the address has the request", || former.received("r1") == 1).await;
+    let server = Backend::start("i-1", Behaviour::Serve).await;
+    let ready = server.registration(RegistrationState::Ready, 1);
+    gateway.store.register(Registration { started: 2, ..ready });
+    let is_known = || {
+        let fleet = gateway.shared.fleet();
+        fleet.registry.server(&server.id).is_some_and(|s| s.registration().addr == server.addr)
+    };
+    gateway.wait_until("the new start is known", is_known).await;
+    caller.reply().await.expect("a response");
+    assert!(is_known(), "the new start was removed");
+    assert_eq!(gateway.call(&post("r2")).await.status, 200);
+}
