--- a/crates/gateway/tests/stopping.rs
+++ b/crates/gateway/tests/stopping.rs
@@ -180,3 +180,19 @@
     assert_eq!(caller.reply().await.map(|reply| reply.status), Some(503));
     assert_eq!(received(), 1);
 }
+
+/// Guards against callers that stall and hold a planned stop beyond its time.
+#[tokio::test]
+async fn stalled_callers_do_not_hold_planned_stop_beyond_its_time() {
+    let server = Backend::start("i-1", Behaviour::LargeBody(0)).await;
+    let gateway = TestGateway::with_slow_link(&server).await;
+    let mut callers = Vec::new();
+    for text in [get("/free/1", "r2"), PARTIAL_HEAD.into(), PARTIAL_BODY.into()] {
+        let mut caller = Caller::connect_slow(gateway.entry).await;
+        caller.send(&text).await;
+        callers.push(caller);
+    }
+    let max_stop = Duration::from_millis(gateway.shared.settings.stop_ms);
+    let stopping = tokio::time::timeout(max_stop, stop::stop(&gateway.shared));
+    assert!(stopping.await.is_ok(), "the stop takes longer than its time");
+}
