--- a/crates/gateway/tests/stopping.rs
+++ b/crates/gateway/tests/stopping.rs
@@ -4,7 +4,10 @@
 
 use common::{get, header, post, Backend, Behaviour, Caller, TestGateway, LARGE_BODY};
 use redwingtrestle_core::process::peer_table::NodeState;
-use redwingtrestle_gateway::{shared::Phase, stop};
+use redwingtrestle_gateway::{
+    shared::{wait_for_closing, Phase},
+    stop,
+};
 use std::{sync::Arc, time::Duration};
 use tokio::{net::TcpStream, runtime::Runtime};
 
@@ -68,6 +71,64 @@
     }
 }
 
+/// Guards against a connection that closes at the end of serving although the rest of an earlier reply is not written.
+#[tokio::test]
+async fn planned_stop_does_not_cut_reply_that_began_before_it() {
+    let server = Backend::start("i-1", Behaviour::LargeBody(0)).await;
+    let gateway = TestGateway::with_slow_link(&server).await;
+    let mut caller = Caller::connect_slow(gateway.entry).await;
+    caller.send(&get("/free/1", "r1")).await;
+    gateway
+        .wait_until("the reply is taken and not written", || {
+            server.received().len() == 1 && gateway.shared.open_count() == 0
+        })
+        .await;
+    let received = stop_while_reading_slowly(&gateway, caller).await;
+    assert!(received > LARGE_BODY, "the reply was cut after {received} bytes");
+}
+
+/// Guards against a stop that cuts a reply which is streamed because it is too long to buffer.
+#[tokio::test]
+async fn planned_stop_does_not_cut_streamed_reply() {
+    let server = Backend::start("i-1", Behaviour::LeaveWithLongBody).await;
+    let gateway = TestGateway::with_slow_link(&server).await;
+    let mut caller = Caller::connect_slow(gateway.entry).await;
+    caller.send(&get("/free/1", "r1")).await;
+    gateway.wait_until("the server has the request", || server.received().len() == 1).await;
+    let received = stop_while_reading_slowly(&gateway, caller).await;
+    assert!(received > 1_000_000, "the reply was cut after {received} bytes");
+}
+
+/// Guards against requests that are still unread when a connection closes, and reset it before its reply is delivered.
+#[tokio::test]
+async fn planned_stop_does_not_reset_connection_with_unread_requests() {
+    let server = Backend::start("i-1", Behaviour::LargeBody(900)).await;
+    let gateway = TestGateway::with_slow_link(&server).await;
+    let mut caller = Caller::connect_slow(gateway.entry).await;
+    caller.send(&get("/free/1", "r1")).await;
+    gateway.wait_until("the server has the request", || server.received().len() == 1).await;
+    for attempt in ["r2", "r3"] {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        caller.send(&get("/free/1", attempt)).await;
+    }
+    let received = stop_while_reading_slowly(&gateway, caller).await;
+    assert!(received > LARGE_BODY, "the reply was cut after {received} bytes");
+}
+
+/// Stops the gateway while the caller reads its reply slowly from the end of serving on, and returns the number of bytes
+/// that the caller got.
+async fn stop_while_reading_slowly(gateway: &TestGateway, mut caller: Caller) -> usize {
+    let mut phase = gateway.shared.phase.subscribe();
+    let reading = tokio::spawn(async move {
+        wait_for_closing(&mut phase).await;
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        caller.read_slowly().await
+    });
+    stop::stop(&gateway.shared).await;
+    assert_eq!(gateway.shared.connection_count(), 0);
+    reading.await.expect("no panic")
+}
+
 /// The start of a request head, and of a request whose body is not complete.
 const PARTIAL_HEAD: &str = "POST /once/1 HTTP/1.1\r\nHost: a.example\r\nRedwing-Request-Id: r1\r\n";
 const PARTIAL_BODY: &str =
@@ -119,3 +180,19 @@
     assert_eq!(caller.reply().await.map(|reply| reply.status), Some(503));
     assert_eq!(received(), 1);
 }
+
+/// Guards against callers that stall and hold a planned stop beyond its time.
+#[tokio::test]
+async fn stalled_callers_do_not_hold_planned_stop_beyond_its_time() {
+    let server = Backend::start("i-1", Behaviour::LargeBody(0)).await;
+    let gateway = TestGateway::with_slow_link(&server).await;
+    let mut callers = Vec::new();
+    for text in [get("/free/1", "r2"), PARTIAL_HEAD.into(), PARTIAL_BODY.into()] {
+        let mut caller = Caller::connect_slow(gateway.entry).await;
+        caller.send(&text).await;
+        callers.push(caller);
+    }
+    let max_stop = Duration::from_millis(gateway.shared.settings.stop_ms);
+    let stopping = tokio::time::timeout(max_stop, stop::stop(&gateway.shared));
+    assert!(stopping.await.is_ok(), "the stop takes longer than its time");
+}
