Take a server's response only if it provably belongs to its send

Callers of the product's own entry could be told "not run" for an order that ran, an order could run at two servers or several times at one, and a caller could get the response to another request, when a server wrote an earlier response once more on a kept connection.

Cause: a 503 with Redwing-Shed was believed as it came, and no response's id was compared. The contract asked servers for no id.

Change: a server returns Redwing-Request-Id in each response. The id that it gets ends with 16 digits of the send, as callers may use an id twice and a refused request may go to the same server again. A response is taken with the id of its send, or without an id on a connection that was opened for this request alone; any other one counts as a lost connection. reqwest does not tell whether a connection was kept, so a server gets kept connections only after it has echoed an id, and one a request for 5 min after it has not. Servers that echo nothing stay usable and are named once in the log. A server's Redwing-Draining counts only in a response of this kind.

Not measured: the cost of a connection a request beyond the 1 ms that the design states.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -21,6 +21,7 @@
 pub mod recent_ranks;
 pub mod registration;
 mod relayable_changes;
+pub mod response_proof;
 pub mod server_pause;
 pub mod server_registry;
 pub mod service_leader;
--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -64,6 +64,10 @@
     Ok((listener, addr))
 }
 
+/// Identifies the connection on which a request arrived, as an extension of the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ConnectionId(pub u64);
+
 /// Serves HTTP/1.1 on `listener` until the returned task is aborted, which also closes the open connections.
 pub fn serve<F, Fut>(listener: TcpListener, respond: F) -> JoinHandle<()>
 where
@@ -72,13 +76,19 @@
 {
     tokio::spawn(async move {
         let mut connections = tokio::task::JoinSet::new();
+        let mut next_id = 0;
         loop {
             tokio::select! {
                 accepted = listener.accept() => {
                     let Ok((socket, _)) = accepted else { continue };
                     // With Nagle's algorithm, small responses would wait for the acknowledgement of earlier segments.
                     let _ = socket.set_nodelay(true);
-                    let service = service_fn(respond.clone());
+                    let (respond, id) = (respond.clone(), ConnectionId(next_id));
+                    next_id += 1;
+                    let service = service_fn(move |mut request: Request<Incoming>| {
+                        request.extensions_mut().insert(id);
+                        respond(request)
+                    });
                     connections.spawn(async move {
                         let io = TokioIo::new(socket);
                         let _ = hyper::server::conn::http1::Builder::new()
--- a/crates/node/src/carriers.rs
+++ b/crates/node/src/carriers.rs
@@ -68,7 +68,7 @@
 ) -> Result<ReceivedResponse, (Failure, String)> {
     let left = call.deadline.remaining(shared.clock.now());
     let millis = (left - DEADLINE_MARGIN).as_millis().max(1);
-    let request = dispatch::build_request(shared, call, to, millis)
+    let request = dispatch::build_request(&shared.client, call, to, millis, &call.id)
         .header(HeaderName::from_static(caller::FORWARDED), HeaderValue::from_static(reason));
     let exchange = async {
         let response = dispatch::send_once(request, call).await?;
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -15,6 +15,7 @@
     ids::{RankIndex, ServerAddr, ServiceName},
     invariant,
     invariant::Invariant,
+    process::response_proof::{Connection, Echo},
     request::{
         deadline::Deadline,
         idempotency_store::{self, RunResult},
@@ -570,9 +571,16 @@
 ) -> Result<ReceivedResponse, (Failure, String)> {
     let left = time_left(shared.clock, call.deadline);
     let millis = call.deadline.header_millis(shared.clock.now()).unwrap_or(1);
-    let request = build_request(shared, call, server.0, millis);
+    let connection = shared.response_proof().connection(server);
+    let client = match connection {
+        Connection::Kept => &shared.client,
+        Connection::New => &shared.unpooled_client,
+    };
+    let id = send_id(&call.id);
+    let request = build_request(client, call, server.0, millis, &id);
     let exchange = async {
         let response = send_once(request, call).await?;
+        check_echo(shared, server, connection, response.headers(), &id)?;
         if response.headers().contains_key(caller::DRAINING) {
             shared.events.push_over_oldest(Event::Draining(server));
         }
@@ -581,7 +589,7 @@
         }
         let mut received = receive(response, call).await?;
         // Only nodes set these headers; a backend server's values are not passed on.
-        for name in [caller::OUTCOME, caller::RESULT_CODE, caller::KEY_PREFIX] {
+        for name in [caller::OUTCOME, caller::RESULT_CODE, caller::KEY_PREFIX, caller::REQUEST_ID] {
             received.headers.remove(name);
         }
         Ok(received)
@@ -590,6 +598,41 @@
     tokio::time::timeout(left, exchange).await.unwrap_or_else(|_| timeout())
 }
 
+/// Returns the id of one send. Callers may use one id for several requests, and a request may be sent several times, so
+/// the caller's id alone would not tell sends apart.
+fn send_id(id: &str) -> String {
+    format!("{id}.{:016x}", rand::random::<u64>())
+}
+
+/// Checks that a response belongs to the send with this id. Any other response proves nothing about the request.
+fn check_echo(
+    shared: &Shared,
+    server: ServerAddr,
+    connection: Connection,
+    headers: &HeaderMap,
+    id: &str,
+) -> Result<(), (Failure, String)> {
+    let mut given = headers.get_all(caller::REQUEST_ID).iter();
+    let echo = match (given.next(), given.next()) {
+        (None, _) => Echo::Missing,
+        (Some(own), None) if own == id => Echo::Own,
+        _ => Echo::Other,
+    };
+    let verdict = shared.response_proof().judge(shared.clock.now(), server, connection, echo);
+    if verdict.is_new_distrust {
+        log::warn!(
+            server:% = server, request = id, echo:? = echo;
+            "responses of a backend server do not prove which request they belong to"
+        );
+    }
+    match verdict.is_own {
+        true => Ok(()),
+        false => {
+            Err((Failure::ServerLost, "the answer does not carry the id of the request".into()))
+        }
+    }
+}
+
 /// Sends a request and returns the head of the response.
 ///
 /// Of all errors, only a failed connection attempt proves that the other side did not get the request.
@@ -623,17 +666,21 @@
     text
 }
 
-/// Builds the request to `to`; `millis` is the time left until its deadline.
+/// Builds the request to `to`; `millis` is the time left until its deadline, `id` the request id for the other side.
 pub(crate) fn build_request(
-    shared: &Shared,
+    client: &reqwest::Client,
     call: &Call,
     to: SocketAddr,
     millis: u64,
+    id: &str,
 ) -> reqwest::RequestBuilder {
     let url = format!("http://{to}{}", call.target);
     let mut headers = call.headers.clone();
     headers.insert(HeaderName::from_static(caller::DEADLINE), HeaderValue::from(millis));
-    let builder = shared.client.request(call.method.clone(), url);
+    if let Ok(id) = HeaderValue::from_str(id) {
+        headers.insert(HeaderName::from_static(caller::REQUEST_ID), id);
+    }
+    let builder = client.request(call.method.clone(), url);
     match &call.body {
         CallBody::Buffered(bytes) if bytes.is_empty() => builder.headers(headers),
         CallBody::Buffered(bytes) => builder.headers(headers).body(bytes.clone()),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -14,12 +14,13 @@
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
 use redwingtrestle_core::{
-    ids::{NodeId, RankName, ServiceName, StartId, Version},
+    ids::{NodeId, RankName, ServerAddr, ServiceName, StartId, Version},
     invariant,
     invariant::Invariant,
     process::{
         burn::{BurnCounter, CallerOutcome, Report},
         heartbeat::NodeState,
+        response_proof::ResponseProof,
     },
     time::Timestamp,
     version::{log_reader::PeerSummary, routes::Routes, spec::Spec},
@@ -80,8 +81,12 @@
     pub gates: ArcSwap<HashMap<ServiceName, Arc<Gate>>>,
     /// The entry addresses for callers. While this node serves, its own is the first.
     pub entries: ArcSwap<Vec<SocketAddr>>,
-    /// The HTTP client for requests to backend servers and to other entry VMs.
+    /// The HTTP client for requests to other entry VMs, and to backend servers that get kept connections.
     pub client: reqwest::Client,
+    /// The HTTP client that opens a connection for each request and keeps none.
+    pub unpooled_client: reqwest::Client,
+    /// What the responses of backend servers prove.
+    response_proof: Mutex<ResponseProof>,
     /// The idempotency store for the keys whose home is this process.
     pub local_home: Arc<LocalHome>,
     /// The entry addresses of the fleet's members, to which keyed requests may be forwarded.
@@ -118,15 +123,8 @@
 impl Shared {
     /// Creates the shared state of a process. Fails if the HTTP client cannot be created.
     pub fn new(settings: Settings) -> Result<Arc<Self>> {
-        let client = reqwest::Client::builder()
-            .redirect(reqwest::redirect::Policy::none())
-            .no_proxy()
-            .retry(reqwest::retry::never())
-            .connect_timeout(CONNECT_TIMEOUT)
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .tcp_nodelay(true)
-            .build()
-            .map_err(|e| Error::start("client", e.to_string()))?;
+        let client = build_client(usize::MAX)?;
+        let unpooled_client = build_client(0)?;
         let id = NodeId { addr: settings.peer_address(), start: StartId(rand::random()) };
         let clock = Clock::start();
         let entry = settings.entry_address();
@@ -141,6 +139,8 @@
             active: ArcSwapOption::empty(),
             gates: ArcSwap::default(),
             client,
+            unpooled_client,
+            response_proof: Mutex::default(),
             leaving: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             incoming_handovers: IncomingHandovers::default(),
@@ -188,12 +188,20 @@
             gate.close();
         }
         self.burn().configure(version, &spec);
+        let addrs = spec.services.values().flat_map(|s| &s.servers).map(|s| s.addr);
+        let listed: HashSet<ServerAddr> = addrs.collect();
+        self.response_proof().retain(|server| listed.contains(&server));
         let routes = Routes::new(&spec);
         self.active.store(Some(Arc::new(ActiveConfig { version, spec, routes, since: now })));
         metrics::gauge!("redwing_config_version").set(version.0 as f64);
         log::info!(version = version.0; "configuration is in force");
     }
 
+    /// Returns what the responses of backend servers prove.
+    pub fn response_proof(&self) -> MutexGuard<'_, ResponseProof> {
+        self.response_proof.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn burn(&self) -> MutexGuard<'_, BurnCounter> {
         self.burn.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -249,6 +257,20 @@
     }
 }
 
+/// Returns an HTTP client that keeps at most this many idle connections to each address.
+fn build_client(max_idle: usize) -> Result<reqwest::Client> {
+    reqwest::Client::builder()
+        .redirect(reqwest::redirect::Policy::none())
+        .no_proxy()
+        .retry(reqwest::retry::never())
+        .connect_timeout(CONNECT_TIMEOUT)
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(max_idle)
+        .tcp_nodelay(true)
+        .build()
+        .map_err(|e| Error::start("client", e.to_string()))
+}
+
 /// Counts one request as in flight until it is dropped.
 #[derive(Debug)]
 pub struct InFlightGuard(Arc<Shared>);
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -12,7 +12,7 @@
 pub const WORKSPACE: &str = "redwing-workspace";
 /// Request header with the time left until the deadline, in milliseconds.
 pub const DEADLINE: &str = "redwing-deadline-ms";
-/// Header with the id of the request, which also appears in logs and responses.
+/// Header with the id of the request, which also appears in logs and responses. Backend servers return it unchanged.
 pub const REQUEST_ID: &str = "redwing-request-id";
 /// Request header that marks a request as forwarded by another entry VM. The value is the reason.
 pub const FORWARDED: &str = "redwing-forwarded";
