Take a node's response only with the id of the forwarded request

A caller could be told the outcome of another request by a program that listens at the address of a node that is gone: any response with Redwing-Outcome was believed. Nodes write one response to each request, so between nodes a repeated one was not found possible by reading; the id guards against the other program only and does not tell sends apart.

Evidence: response_of_a_program_in_place_of_the_home_is_not_believed got not_run (2005) before, now unknown (3004).

--- a/crates/node/src/carriers.rs
+++ b/crates/node/src/carriers.rs
@@ -73,9 +73,9 @@
     let exchange = async {
         let response = dispatch::send_once(request, call).await?;
         let received = dispatch::receive(response, call).await?;
-        if !received.has_outcome() {
+        if !received.is_of_node(&call.id) {
             // The node may be gone and another program may listen at its address.
-            let what = "the answer does not say whether it ran".to_string();
+            let what = "the answer does not say whether this request ran".to_string();
             return Err((Failure::ServerLost, what));
         }
         Ok(received)
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -322,9 +322,12 @@
 }
 
 impl ReceivedResponse {
-    /// Returns whether the response has the outcome header that every response of a node has.
-    pub(crate) fn has_outcome(&self) -> bool {
-        self.headers.contains_key(caller::OUTCOME)
+    /// Returns whether the response has the headers of every response of a node: an outcome and the id of the request.
+    ///
+    /// A node writes one response to each request, so the id need not tell sends apart.
+    pub(crate) fn is_of_node(&self, id: &str) -> bool {
+        let has_id = self.headers.get(caller::REQUEST_ID).is_some_and(|given| given == id);
+        has_id && self.headers.contains_key(caller::OUTCOME)
     }
 
     /// Returns the refusal in another node's response, if it is one.
--- a/crates/node/tests/faulty_responses.rs
+++ b/crates/node/tests/faulty_responses.rs
@@ -6,6 +6,7 @@
 use redwingtrestle_fakes::backend::{BackendOptions, Fault};
 use redwingtrestle_wire::caller;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// The message of the log line about a server whose responses carry no id.
 const NO_ID_LINE: &str = "responses of a backend server do not prove which request they belong to";
@@ -28,7 +29,11 @@
 }
 
 async fn send_order(fleet: &Fleet, key: &str) -> Reply {
-    let request = fleet.client.post(fleet.nodes[0].url("/orders")).body("20 red maple whips");
+    send_order_through(fleet, 0, key).await
+}
+
+async fn send_order_through(fleet: &Fleet, node: usize, key: &str) -> Reply {
+    let request = fleet.client.post(fleet.nodes[node].url("/orders")).body("20 red maple whips");
     // Callers may use one id for several requests, so the id of the caller proves nothing.
     let request = request.header(caller::REQUEST_ID, "order-desk");
     send(request.header(caller::IDEMPOTENCY_KEY, key).header(caller::ATTEMPT, 1)).await
@@ -135,3 +140,29 @@
         assert!(reply.status != 200 || reply.body.starts_with(&path), "{i}: {reply:?}");
     }
 }
+
+/// Guards against an outcome told by another program at the address of a node that is gone, such as a refusal of an
+/// earlier request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn response_of_a_program_in_place_of_the_home_is_not_believed() {
+    let mut fleet = Fleet::start(2, 1, BackendOptions::default()).await;
+    let key = format!("{}.a", fleet.entries(0).await.key_prefix);
+    fleet.nodes[0].signal("KILL");
+    fleet.nodes[0].wait_for_exit().await;
+    let listener =
+        tokio::net::TcpListener::bind(fleet.nodes[0].entry).await.expect("the address is free");
+    let program = tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.expect("a connection");
+        let mut request = [0; 4096];
+        let count = socket.read(&mut request).await.expect("a request");
+        let (id, outcome, code) = (caller::REQUEST_ID, caller::OUTCOME, caller::RESULT_CODE);
+        let refusal = format!(
+            "HTTP/1.1 503 X\r\n{id}: earlier\r\n{outcome}: not_run\r\n{code}: 2005\r\ncontent-length: 2\r\n\r\n{{}}"
+        );
+        socket.write_all(refusal.as_bytes()).await.expect("the refusal is written");
+        count
+    });
+    let reply = send_order_through(&fleet, 1, &key).await;
+    assert!(program.await.expect("the program ends") > 0, "no request was forwarded");
+    assert_eq!((reply.outcome.as_str(), reply.code), ("unknown", 3004), "{reply:?}");
+}
