--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -584,6 +584,10 @@
     let exchange = async {
         let response = send_once(request, call).await?;
         check_echo(shared, server, connection, response.headers(), &id)?;
+        if response.status().is_informational() {
+            let what = format!("status {}, which nobody asked for", response.status());
+            return Err((Failure::ServerLost, what));
+        }
         if response.headers().contains_key(caller::DRAINING) {
             shared.events.push_over_oldest(Event::Draining(server));
         }
--- a/crates/node/tests/cut_responses.rs
+++ b/crates/node/tests/cut_responses.rs
@@ -23,6 +23,9 @@
     ("close", "HTTP/1.1 200 OK\r\nredwing-request-id: {id}\r\n\r\nhello"),
 ];
 
+/// A change of the protocol, in place of a response.
+const SWITCH: &str = "HTTP/1.1 101 Switching Protocols\r\nredwing-request-id: {id}\r\n\r\nhello";
+
 /// The size of a body that the node passes on as it arrives.
 const LARGE_BODY_BYTES: usize = 100_000;
 
@@ -62,6 +65,7 @@
     let parts: Vec<&str> = path.split('/').skip(2).collect();
     let whole = match RESPONSES.iter().find(|(framing, _)| *framing == parts[0]) {
         Some((_, response)) => (*response).to_string(),
+        None if parts[0] == "switch" => SWITCH.to_string(),
         None => format!(
             "HTTP/1.1 200 OK\r\nredwing-request-id: {{id}}\r\ncontent-length: {LARGE_BODY_BYTES}\r\n\r\n{}",
             "x".repeat(LARGE_BODY_BYTES)
@@ -155,3 +159,15 @@
         }
     }
 }
+
+/// Guards against a change of the protocol that nobody asked for and that a caller gets as the response.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn switching_protocols_is_no_response() {
+    let fleet = start_fleet().await;
+    for end in ENDS {
+        for method in ["POST", "GET"] {
+            let status = status_of(&fleet, method, "switch", usize::MAX, end).await;
+            assert_eq!(status, 502, "{method} {end}");
+        }
+    }
+}
