Send no request of a planned stop that its end would cut

In a planned stop with max_stop_ms, orders that came late were sent and cut at the end without an answer. In one without a bound, callers with keys of other homes held the stop for ever.

Cause: until the ttl had passed, a request was sent whatever time was left, and what was open at the end was dropped with its connection. Keys of other homes were forwarded without a look at the stop.

Change: no send begins, here, to a carrier or to a home, that is expected to end after the stop, by the 99th percentile of the service's response times or the rank's target while none is known. Deadlines of requests that arrive during the stop end with it. What is open 250 ms before the end is answered unknown, and its key recorded so; the keys can then be handed over. A leaving entry forwards no keys after the ttl: a declared first attempt is refused not_run, another one is unknown. The times come from core's stop_plan, like the gateway's.

hanging_server_does_not_extend_the_stop_beyond_max_stop asked for a broken connection; it now asks for 504 unknown before the end. Its repeat now has the body of the first order: the key is handed over now, and another body would be refused as key_reused.

--- a/crates/core/src/process/evidence.rs
+++ b/crates/core/src/process/evidence.rs
@@ -5,7 +5,10 @@
 
 use crate::{
     ids::{NodeId, ServerAddr, ServiceName},
-    process::ejections::{Ack, Term},
+    process::{
+        ejections::{Ack, Term},
+        latency::Latency,
+    },
     time::{Span, Timestamp},
 };
 use std::collections::BTreeMap;
@@ -174,6 +177,9 @@
     }
 }
 
+/// The share of responses within [`OutcomeRecorder::response_time`].
+const RARELY_EXCEEDED: f64 = 0.99;
+
 /// Estimates one quantile of a stream in constant space by stochastic approximation.
 #[derive(Clone, Copy, Debug)]
 struct Quantile {
@@ -209,6 +215,7 @@
 pub struct OutcomeRecorder {
     median: Quantile,
     p999: Quantile,
+    recent: Latency,
     cold: BTreeMap<ServerAddr, Timestamp>,
     counts: BTreeMap<ServerAddr, EvidenceCounts>,
 }
@@ -218,6 +225,7 @@
         OutcomeRecorder {
             median: Quantile::new(0.5),
             p999: Quantile::new(0.999),
+            recent: Latency::default(),
             cold: BTreeMap::new(),
             counts: BTreeMap::new(),
         }
@@ -267,6 +275,7 @@
         if good && !self.is_cold(request) {
             self.median.add(latency.as_micros() as f64);
             self.p999.add(latency.as_micros() as f64);
+            self.recent.record(latency);
         }
         if !request.counted {
             self.count(request, good, slow);
@@ -278,6 +287,11 @@
         (self.median.samples >= MIN_SAMPLES).then(|| Span::from_micros(self.median.value as u64))
     }
 
+    /// Returns the latency that few of the newest responses exceed, or `None` with fewer than 8 responses.
+    pub fn response_time(&self) -> Option<Span> {
+        self.recent.quantile(RARELY_EXCEEDED)
+    }
+
     /// Returns the time in flight after which a request is overdue, or `None` without enough samples.
     pub fn overdue_after(&self) -> Option<Span> {
         let median = self.median()?;
--- a/crates/core/src/process/stop_plan.rs
+++ b/crates/core/src/process/stop_plan.rs
@@ -22,6 +22,11 @@
     /// Divides the total time `max_stop`, if callers keep the directory's response for `ttl`.
     pub fn new(max_stop: Span, ttl: Span) -> Self {
         let leaving = Span::from_micros(max_stop.as_micros() / LEAVING_DIVISOR).min(ttl);
+        Self::with_leaving(max_stop, leaving)
+    }
+
+    /// Divides the total time `max_stop` of a stop in which new requests are served for `leaving`.
+    pub fn with_leaving(max_stop: Span, leaving: Span) -> Self {
         StopPlan { leaving, closing: max_stop - leaving - RESERVE }
     }
 }
@@ -46,6 +51,11 @@
     /// Returns whether a request may be sent to a server at `now`, if responses of the service rarely take longer than
     /// `response_time`.
     pub fn may_send(&self, now: Timestamp, response_time: Span) -> bool {
-        now + response_time <= self.began + self.plan.leaving + self.plan.closing
+        now + response_time <= self.end()
+    }
+
+    /// Returns when open requests are cut off.
+    pub fn end(&self) -> Timestamp {
+        self.began + self.plan.leaving + self.plan.closing
     }
 }
--- a/crates/core/src/request/deadline.rs
+++ b/crates/core/src/request/deadline.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Returns the earlier of this deadline and `limit`.
+    pub fn limited_to(self, limit: Timestamp) -> Self {
+        Deadline(self.0.min(limit))
+    }
+
     /// Returns the deadline as a point in time.
     pub fn at(self) -> Timestamp {
         self.0
--- a/crates/core/tests/stop_plan.rs
+++ b/crates/core/tests/stop_plan.rs
@@ -3,6 +3,7 @@
 use redwingtrestle_core::{
     cases,
     process::stop_plan::{PlannedStop, StopPlan},
+    request::deadline::Deadline,
     time::{Span, Timestamp},
 };
 
@@ -19,6 +20,22 @@
     long_ttl_leaves_time_for_open_requests: (6_000, 30_000) => (2_000, 3_750),
 }
 
+/// Returns the end of a stop that serves new requests for this long, and a later deadline limited to it, in milliseconds
+/// after its beginning.
+fn limited_deadline((whole, leaving): (u64, u64)) -> (u64, u64) {
+    let began = Timestamp::ZERO + Span::from_secs(100);
+    let plan = StopPlan::with_leaving(Span::from_millis(whole), Span::from_millis(leaving));
+    let end = PlannedStop { plan, began }.end();
+    let deadline = Deadline::after(began, Span::from_secs(60)).limited_to(end);
+    (end.since(began).as_millis(), deadline.remaining(began).as_millis())
+}
+
+cases! {
+    limited_deadline;
+    /// Guards against requests that outlast a stop.
+    late_deadline_is_the_end: (4_000, 3_000) => (3_750, 3_750),
+}
+
 /// Returns whether a stop of 6 s accepts a request, and sends one that may take 800 ms, this many milliseconds after its
 /// beginning.
 fn may_begin(elapsed_ms: u64) -> (bool, bool) {
--- a/crates/node/src/carriers.rs
+++ b/crates/node/src/carriers.rs
@@ -131,6 +131,11 @@
             refused = (ResultCode::DeadlineUnmet, what);
             break;
         }
+        if !dispatch::ends_before_stop(shared, call) {
+            let what = "the answer would come after the end of this node's stop".to_string();
+            refused = (ResultCode::NodeLeaving, what);
+            break;
+        }
         invariant!(
             Invariant::AtMostOnce,
             call.idempotent || lost.is_none(),
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -22,7 +22,7 @@
         lifecycle::{Dispatched, Queued, Refusal, Request},
         retry::{may_retry, Failure},
     },
-    time::Timestamp,
+    time::{Span, Timestamp},
 };
 use redwingtrestle_gateway::reply::strip_hop_by_hop_headers;
 use redwingtrestle_wire::caller::{self, RefusalBody};
@@ -494,16 +494,42 @@
     admission: impl Future<Output = Result<Permit, ResultCode>>,
 ) -> Result<Permit, ResultCode> {
     let left = time_left(shared.clock, call.deadline);
-    let permit = match tokio::time::timeout(left, admission).await {
-        Ok(admitted) => admitted?,
-        Err(_) => return Err(ResultCode::DeadlineUnmet),
+    let admitted = tokio::time::timeout(left, admission).await;
+    let permit = match admitted.unwrap_or(Err(ResultCode::DeadlineUnmet)) {
+        Ok(permit) => permit,
+        // The stop has limited the deadline.
+        Err(ResultCode::DeadlineUnmet) if !ends_before_stop(shared, call) => {
+            return Err(ResultCode::NodeLeaving)
+        }
+        Err(code) => return Err(code),
     };
     match call.deadline.header_millis(shared.clock.now()) {
+        Some(_) if !ends_before_stop(shared, call) => Err(ResultCode::NodeLeaving),
         Some(_) => Ok(permit),
         None => Err(ResultCode::DeadlineUnmet),
     }
 }
 
+/// Returns whether a send that begins now is expected to end before a planned stop does. It ends at its deadline at the
+/// latest, and the stop limits the deadlines of requests that arrive during it. Until enough responses have arrived, the
+/// target of the rank is expected.
+pub(crate) fn ends_before_stop(shared: &Shared, call: &Call) -> bool {
+    let Some(stop) = shared.planned_stop.get() else { return true };
+    if call.deadline.at() < stop.end() {
+        return true;
+    }
+    let usual = shared.gates.load().get(&call.service).and_then(|gate| gate.response_time());
+    let expected = usual.unwrap_or_else(|| rank_target(shared, call));
+    stop.may_send(shared.clock.now(), expected)
+}
+
+fn rank_target(shared: &Shared, call: &Call) -> Span {
+    let active = shared.active.load();
+    let service = active.as_ref().and_then(|a| a.spec.services.get(&call.service));
+    let rank = service.and_then(|s| s.ranks.get(usize::from(call.rank.0)));
+    rank.map_or(Span::ZERO, |r| r.target)
+}
+
 fn can_retry(shared: &Shared, call: &Call, gate: &Gate, failure: Failure, sends: u32) -> bool {
     let now = shared.clock.now();
     may_retry(failure, call.idempotent)
--- a/crates/node/src/entry/proxy.rs
+++ b/crates/node/src/entry/proxy.rs
@@ -11,7 +11,7 @@
 use redwingtrestle_core::{
     codes::{Outcome, ResultCode},
     ids::{RankName, ServiceName},
-    process::burn::CallerOutcome,
+    process::{burn::CallerOutcome, stop_plan::PlannedStop},
     request::{
         deadline::Deadline,
         key::{Key, RequestKey},
@@ -142,7 +142,8 @@
         status: None,
         forwarded: parse_forwarded(request) != Forwarded::No,
     };
-    match serve(shared, request, data, &id, &mut guard).await {
+    let served = serve_until_stop(shared, serve(shared, request, data, &id, &mut guard)).await;
+    match served {
         Reply::Refusal(code, what) => {
             let (service, outcome) = (&*guard.service, code.outcome());
             log::log!(
@@ -162,6 +163,23 @@
     }
 }
 
+/// Serves a request until the time of a planned stop has passed. Its caller then learns that its outcome is unknown, and a
+/// key is recorded as such, so that the records of the keys can still be handed over.
+async fn serve_until_stop(
+    shared: &Shared,
+    served: impl std::future::Future<Output = Reply>,
+) -> Reply {
+    let mut end = shared.stop_end.subscribe();
+    tokio::select! {
+        biased;
+        reply = served => reply,
+        Ok(_) = end.wait_for(|is_over| *is_over) => {
+            let what = "the planned stop of the node ends before the answer".to_string();
+            Reply::Refusal(ResultCode::ServerTimeout, what)
+        }
+    }
+}
+
 /// How a prepared request is executed: here, or by the home of its key.
 enum Execution {
     Run(Option<RunPermit>),
@@ -314,6 +332,8 @@
     guard.set_route(&active, route);
     let mut headers = headers_to_pass_on(shared, request)?;
     let deadline = parse_deadline(guard.started, request, route.deadline)?;
+    let stop_end = shared.planned_stop.get().map(PlannedStop::end);
+    let deadline = stop_end.map_or(deadline, |end| deadline.limited_to(end));
     let attempt = parse_attempt(request)?;
     let workspace = workspace_hash(request)?;
     set_header(&mut headers, caller::REQUEST_ID, id)?;
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -265,6 +265,11 @@
         recorder.drain()
     }
 
+    /// Returns the latency that responses of the service rarely exceed, if enough have arrived.
+    pub fn response_time(&self) -> Option<Span> {
+        self.lock().recorder.response_time()
+    }
+
     /// Ignores the outcomes of requests to a server that start before `until`, the end of its cold start.
     pub fn set_cold(&self, server: ServerAddr, until: Timestamp) {
         self.lock().recorder.set_cold(server, until);
--- a/crates/node/src/homes.rs
+++ b/crates/node/src/homes.rs
@@ -27,7 +27,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{atomic::Ordering, Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 use tokio::sync::oneshot;
@@ -301,6 +301,15 @@
     home: SocketAddr,
     attempt: Option<u32>,
 ) -> Reply {
+    if shared.closed.load(Ordering::SeqCst) || !dispatch::ends_before_stop(shared, call) {
+        // Only a first attempt cannot have run through another entry.
+        let code = match attempt {
+            Some(1) => ResultCode::NodeLeaving,
+            _ => ResultCode::HomeSilent,
+        };
+        let what = "the node is leaving and forwards no more keys".to_string();
+        return Reply::Refusal(code, what);
+    }
     match carriers::send(shared, call, home, caller::FORWARDED_TO_HOME).await {
         Ok(received) => Reply::Response(Box::new(received.into_home_response(shared, call))),
         Err((failure, what)) => {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -21,6 +21,7 @@
         burn::{BurnCounter, CallerOutcome, Report},
         heartbeat::NodeState,
         response_proof::ResponseProof,
+        stop_plan::PlannedStop,
     },
     time::Timestamp,
     version::{log_reader::PeerSummary, routes::Routes, spec::Spec},
@@ -30,10 +31,11 @@
     net::SocketAddr,
     sync::{
         atomic::{AtomicBool, AtomicUsize, Ordering},
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
     },
     time::Duration,
 };
+use tokio::sync::watch;
 
 /// The timeout for opening a connection to a backend server. This normally takes about 1 ms, so a server that
 /// needs longer than the timeout counts as unreachable.
@@ -99,6 +101,10 @@
     pub leaving: AtomicBool,
     /// Whether the planned stop no longer accepts new requests, except copies with known keys.
     pub closed: AtomicBool,
+    /// The times of the planned stop, once it has begun and if its duration is bounded.
+    pub planned_stop: OnceLock<PlannedStop>,
+    /// Whether the time for open requests of the planned stop has passed.
+    pub stop_end: watch::Sender<bool>,
     /// The incomplete handovers of idempotency records from leaving nodes.
     pub incoming_handovers: IncomingHandovers,
     /// Whether the node has finished its start and may serve; the control thread sets it.
@@ -143,6 +149,8 @@
             response_proof: Mutex::default(),
             leaving: AtomicBool::new(false),
             closed: AtomicBool::new(false),
+            planned_stop: OnceLock::new(),
+            stop_end: watch::Sender::new(false),
             incoming_handovers: IncomingHandovers::default(),
             ready: AtomicBool::new(false),
             log_view: ArcSwap::default(),
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -9,7 +9,10 @@
 };
 use redwingtrestle_core::{
     ids::NodeId,
-    process::node_lifecycle::{Leaving, NodeLifecycle, Serving, StopOptions, StopStep},
+    process::{
+        node_lifecycle::{Leaving, NodeLifecycle, Serving, StopOptions, StopStep},
+        stop_plan::{PlannedStop, StopPlan},
+    },
     time::{Span, Timestamp},
     version::{config_state::Record, log_reader::Readiness},
 };
@@ -121,6 +124,9 @@
     let mut notified_at: Option<Timestamp> = None;
     loop {
         let now = shared.clock.now();
+        if shared.planned_stop.get().is_some_and(|stop| now >= stop.end()) {
+            shared.stop_end.send_replace(true);
+        }
         if let Some(task) =
             handover_task.as_mut().filter(|t| t.is_finished() && successor.is_none())
         {
@@ -138,7 +144,15 @@
         log::info!(step:? = step, millis, in_flight = shared.in_flight();
             "next step of the planned stop");
         match step {
-            StopStep::WithdrawEntry => shared.leaving.store(true, Ordering::SeqCst),
+            StopStep::WithdrawEntry => {
+                if options.max_stop > Span::ZERO {
+                    let leaving = options.entry_spread + options.entries_ttl;
+                    let plan = StopPlan::with_leaving(options.max_stop, leaving);
+                    // The step occurs once, so nothing is set before.
+                    let _ = shared.planned_stop.set(PlannedStop { plan, began: start });
+                }
+                shared.leaving.store(true, Ordering::SeqCst);
+            }
             StopStep::CloseGenerations => {
                 shared.closed.store(true, Ordering::SeqCst);
                 shared.local_home.close(now);
--- a/crates/node/tests/stopping.rs
+++ b/crates/node/tests/stopping.rs
@@ -318,6 +318,7 @@
     let k = new_key(&fleet, 0, "a").await;
     let request =
         fleet.client.post(fleet.nodes[0].url("/orders")).header(header::IDEMPOTENCY_KEY, &k);
+    let request = request.body("20 red maple whips");
     let hung = tokio::spawn(request.header(header::DEADLINE, 60_000).send());
     wait_for("the order runs", || async { (fleet.runs(&k) == 1).then_some(()) }).await;
     let start = Instant::now();
@@ -325,7 +326,9 @@
     assert!(fleet.nodes[0].wait_for_exit().await);
     let took = start.elapsed();
     assert!(took >= Duration::from_secs(3) && took < Duration::from_secs(5), "{took:?}");
-    assert!(hung.await.unwrap().is_err());
+    let hung = hung.await.unwrap().expect("the order gets an answer before the end of the stop");
+    let code = hung.headers()[header::RESULT_CODE].to_str().unwrap();
+    assert_eq!((hung.status().as_u16(), code), (504, "3002"));
     let reply = send_order(&fleet, 1, &k, 2).await.expect("the entry responds");
     assert_eq!((reply.1.as_str(), fleet.runs(&k)), ("unknown", 1), "{reply:?}");
 }
@@ -437,3 +440,79 @@
         assert_eq!(reply_after_handover(&fleet, 0, &key(i).to_string(), 3).await.2, 1008);
     }
 }
+
+/// Sends an order with a new key every 80 ms from the beginning of a stop until the node accepts no connection, and
+/// returns for each its key and the outcome that its caller got, which is empty for a connection that broke.
+async fn send_orders_during_stop(fleet: &Fleet, prefix: &str) -> Vec<(String, String)> {
+    let mut orders = vec![];
+    let start = Instant::now();
+    for i in 0.. {
+        assert!(start.elapsed() < common::CONDITION_TIMEOUT, "the stop does not end");
+        if tokio::net::TcpStream::connect(fleet.nodes[0].entry).await.is_err() {
+            break;
+        }
+        let key = format!("{prefix}.late-{i}");
+        // Each order has a connection of its own, as the node closes connections after their request.
+        let request = http_client().post(fleet.nodes[0].url("/orders")).body("20 red maple whips");
+        let request = request.header(header::IDEMPOTENCY_KEY, &key).header(header::ATTEMPT, 1);
+        orders.push(tokio::spawn(async move {
+            let outcome = match request.send().await {
+                Ok(r) => r.headers()[header::OUTCOME].to_str().expect("text").to_string(),
+                Err(_) => String::new(),
+            };
+            (key, outcome)
+        }));
+        tokio::time::sleep(Duration::from_millis(80)).await;
+    }
+    join_all(orders).await.into_iter().map(|o| o.expect("the order ends")).collect()
+}
+
+/// Sends orders whose keys have this home through node 0 while it stops.
+async fn late_orders_end_with_their_outcome(home: usize, more: &str) {
+    let service_time = Duration::from_millis(600);
+    let options = BackendOptions { service_time, slots: 100, ..BackendOptions::default() };
+    let mut fleet = Fleet::start_with(2, 2, options, &format!("{ENTRIES_TTL}{more}")).await;
+    let prefix = fleet.entries(home).await.key_prefix;
+    // The node knows the usual response time only after some responses.
+    let names: Vec<String> = (0..9).map(|i| format!("early-{i}")).collect();
+    join_all(names.iter().map(|name| run_order(&fleet, 0, name))).await;
+    fleet.nodes[0].signal("TERM");
+    let orders = send_orders_during_stop(&fleet, &prefix).await;
+    assert!(fleet.nodes[0].wait_for_exit().await);
+    let count = |outcome: &str| orders.iter().filter(|(_, o)| o == outcome).count();
+    let counts = ["ran", "not_run", "unknown", ""].map(count);
+    println!("home {home}: ran, not run, unknown, connection broken: {counts:?}");
+    for (key, outcome) in &orders {
+        // A connection that breaks may have been accepted by the kernel only, so its order must not have run.
+        let (runs, most) = (fleet.runs(key), u64::from(outcome == "ran" || outcome == "unknown"));
+        let least = u64::from(outcome == "ran");
+        assert!((least..=most).contains(&runs), "{key}: {outcome:?}, {runs} runs; {counts:?}");
+    }
+    assert!(counts[0] > 0 && counts[1] > 0, "{counts:?}");
+    // The node knows neither the queue of another home nor a response that takes longer than usual.
+    assert!(counts[2] * 2 <= counts[0], "{counts:?}");
+}
+
+/// Guards against orders that come late in a stop, are passed on, and are cut off when the process ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_orders_of_a_bounded_stop_are_not_cut() {
+    late_orders_end_with_their_outcome(0, ",\"max_stop_ms\":2000").await;
+}
+
+/// Guards against the same for orders that the stopping node forwards to the home of their key.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_forwarded_orders_of_a_bounded_stop_are_not_cut() {
+    late_orders_end_with_their_outcome(1, ",\"max_stop_ms\":2000").await;
+}
+
+/// Guards against the same in a stop without a bound.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_orders_of_an_unbounded_stop_are_not_cut() {
+    late_orders_end_with_their_outcome(0, "").await;
+}
+
+/// Guards against a stop that callers hold for ever with orders for another home.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_forwarded_orders_do_not_hold_an_unbounded_stop() {
+    late_orders_end_with_their_outcome(1, "").await;
+}
