--- a/crates/node/src/carriers.rs
+++ b/crates/node/src/carriers.rs
@@ -68,14 +68,14 @@
 ) -> Result<ReceivedResponse, (Failure, String)> {
     let left = call.deadline.remaining(shared.clock.now());
     let millis = (left - DEADLINE_MARGIN).as_millis().max(1);
-    let request = dispatch::build_request(shared, call, to, millis)
+    let request = dispatch::build_request(&shared.client, call, to, millis, &call.id)
         .header(HeaderName::from_static(caller::FORWARDED), HeaderValue::from_static(reason));
     let exchange = async {
         let response = dispatch::send_once(request, call).await?;
         let received = dispatch::receive(response, call).await?;
-        if !received.has_outcome() {
+        if !received.is_of_node(&call.id) {
             // The node may be gone and another program may listen at its address.
-            let what = "the answer does not say whether it ran".to_string();
+            let what = "the answer does not say whether this request ran".to_string();
             return Err((Failure::ServerLost, what));
         }
         Ok(received)
@@ -131,6 +131,11 @@
             refused = (ResultCode::DeadlineUnmet, what);
             break;
         }
+        if !dispatch::ends_before_stop(shared, call) {
+            let what = "the answer would come after the end of this node's stop".to_string();
+            refused = (ResultCode::NodeLeaving, what);
+            break;
+        }
         invariant!(
             Invariant::AtMostOnce,
             call.idempotent || lost.is_none(),
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -15,13 +15,14 @@
     ids::{RankIndex, ServerAddr, ServiceName},
     invariant,
     invariant::Invariant,
+    process::response_proof::{Connection, Echo},
     request::{
         deadline::Deadline,
         idempotency_store::{self, RunResult},
         lifecycle::{Dispatched, Queued, Refusal, Request},
         retry::{may_retry, Failure},
     },
-    time::Timestamp,
+    time::{Span, Timestamp},
 };
 use redwingtrestle_gateway::reply::strip_hop_by_hop_headers;
 use redwingtrestle_wire::caller::{self, RefusalBody};
@@ -321,9 +322,12 @@
 }
 
 impl ReceivedResponse {
-    /// Returns whether the response has the outcome header that every response of a node has.
-    pub(crate) fn has_outcome(&self) -> bool {
-        self.headers.contains_key(caller::OUTCOME)
+    /// Returns whether the response has the headers of every response of a node: an outcome and the id of the request.
+    ///
+    /// A node writes one response to each request, so the id need not tell sends apart.
+    pub(crate) fn is_of_node(&self, id: &str) -> bool {
+        let has_id = self.headers.get(caller::REQUEST_ID).is_some_and(|given| given == id);
+        has_id && self.headers.contains_key(caller::OUTCOME)
     }
 
     /// Returns the refusal in another node's response, if it is one.
@@ -490,16 +494,42 @@
     admission: impl Future<Output = Result<Permit, ResultCode>>,
 ) -> Result<Permit, ResultCode> {
     let left = time_left(shared.clock, call.deadline);
-    let permit = match tokio::time::timeout(left, admission).await {
-        Ok(admitted) => admitted?,
-        Err(_) => return Err(ResultCode::DeadlineUnmet),
+    let admitted = tokio::time::timeout(left, admission).await;
+    let permit = match admitted.unwrap_or(Err(ResultCode::DeadlineUnmet)) {
+        Ok(permit) => permit,
+        // The stop has limited the deadline.
+        Err(ResultCode::DeadlineUnmet) if !ends_before_stop(shared, call) => {
+            return Err(ResultCode::NodeLeaving)
+        }
+        Err(code) => return Err(code),
     };
     match call.deadline.header_millis(shared.clock.now()) {
+        Some(_) if !ends_before_stop(shared, call) => Err(ResultCode::NodeLeaving),
         Some(_) => Ok(permit),
         None => Err(ResultCode::DeadlineUnmet),
     }
 }
 
+/// Returns whether a send that begins now is expected to end before a planned stop does. It ends at its deadline at the
+/// latest, and the stop limits the deadlines of requests that arrive during it. Until enough responses have arrived, the
+/// target of the rank is expected.
+pub(crate) fn ends_before_stop(shared: &Shared, call: &Call) -> bool {
+    let Some(stop) = shared.planned_stop.get() else { return true };
+    if call.deadline.at() < stop.end() {
+        return true;
+    }
+    let usual = shared.gates.load().get(&call.service).and_then(|gate| gate.response_time());
+    let expected = usual.unwrap_or_else(|| rank_target(shared, call));
+    stop.may_send(shared.clock.now(), expected)
+}
+
+fn rank_target(shared: &Shared, call: &Call) -> Span {
+    let active = shared.active.load();
+    let service = active.as_ref().and_then(|a| a.spec.services.get(&call.service));
+    let rank = service.and_then(|s| s.ranks.get(usize::from(call.rank.0)));
+    rank.map_or(Span::ZERO, |r| r.target)
+}
+
 fn can_retry(shared: &Shared, call: &Call, gate: &Gate, failure: Failure, sends: u32) -> bool {
     let now = shared.clock.now();
     may_retry(failure, call.idempotent)
@@ -570,9 +600,20 @@
 ) -> Result<ReceivedResponse, (Failure, String)> {
     let left = time_left(shared.clock, call.deadline);
     let millis = call.deadline.header_millis(shared.clock.now()).unwrap_or(1);
-    let request = build_request(shared, call, server.0, millis);
+    let connection = shared.response_proof().connection(server);
+    let client = match connection {
+        Connection::Kept => &shared.client,
+        Connection::New => &shared.unpooled_client,
+    };
+    let id = send_id(&call.id);
+    let request = build_request(client, call, server.0, millis, &id);
     let exchange = async {
         let response = send_once(request, call).await?;
+        check_echo(shared, server, connection, response.headers(), &id)?;
+        if response.status().is_informational() {
+            let what = format!("status {}, which nobody asked for", response.status());
+            return Err((Failure::ServerLost, what));
+        }
         if response.headers().contains_key(caller::DRAINING) {
             shared.events.push_over_oldest(Event::Draining(server));
         }
@@ -581,7 +622,7 @@
         }
         let mut received = receive(response, call).await?;
         // Only nodes set these headers; a backend server's values are not passed on.
-        for name in [caller::OUTCOME, caller::RESULT_CODE, caller::KEY_PREFIX] {
+        for name in [caller::OUTCOME, caller::RESULT_CODE, caller::KEY_PREFIX, caller::REQUEST_ID] {
             received.headers.remove(name);
         }
         Ok(received)
@@ -590,6 +631,41 @@
     tokio::time::timeout(left, exchange).await.unwrap_or_else(|_| timeout())
 }
 
+/// Returns the id of one send. Callers may use one id for several requests, and a request may be sent several times, so
+/// the caller's id alone would not tell sends apart.
+fn send_id(id: &str) -> String {
+    format!("{id}.{:016x}", rand::random::<u64>())
+}
+
+/// Checks that a response belongs to the send with this id. Any other response proves nothing about the request.
+fn check_echo(
+    shared: &Shared,
+    server: ServerAddr,
+    connection: Connection,
+    headers: &HeaderMap,
+    id: &str,
+) -> Result<(), (Failure, String)> {
+    let mut given = headers.get_all(caller::REQUEST_ID).iter();
+    let echo = match (given.next(), given.next()) {
+        (None, _) => Echo::Missing,
+        (Some(own), None) if own == id => Echo::Own,
+        _ => Echo::Other,
+    };
+    let verdict = shared.response_proof().judge(shared.clock.now(), server, connection, echo);
+    if verdict.is_new_distrust {
+        log::warn!(
+            server:% = server, request = id, echo:? = echo;
+            "responses of a backend server do not prove which request they belong to"
+        );
+    }
+    match verdict.is_own {
+        true => Ok(()),
+        false => {
+            Err((Failure::ServerLost, "the answer does not carry the id of the request".into()))
+        }
+    }
+}
+
 /// Sends a request and returns the head of the response.
 ///
 /// Of all errors, only a failed connection attempt proves that the other side did not get the request.
@@ -623,17 +699,21 @@
     text
 }
 
-/// Builds the request to `to`; `millis` is the time left until its deadline.
+/// Builds the request to `to`; `millis` is the time left until its deadline, `id` the request id for the other side.
 pub(crate) fn build_request(
-    shared: &Shared,
+    client: &reqwest::Client,
     call: &Call,
     to: SocketAddr,
     millis: u64,
+    id: &str,
 ) -> reqwest::RequestBuilder {
     let url = format!("http://{to}{}", call.target);
     let mut headers = call.headers.clone();
     headers.insert(HeaderName::from_static(caller::DEADLINE), HeaderValue::from(millis));
-    let builder = shared.client.request(call.method.clone(), url);
+    if let Ok(id) = HeaderValue::from_str(id) {
+        headers.insert(HeaderName::from_static(caller::REQUEST_ID), id);
+    }
+    let builder = client.request(call.method.clone(), url);
     match &call.body {
         CallBody::Buffered(bytes) if bytes.is_empty() => builder.headers(headers),
         CallBody::Buffered(bytes) => builder.headers(headers).body(bytes.clone()),
