Split the control thread into modules of one job each

The states of servers, the records proposed to the log, the datagrams, what is published to other threads, and of a service its reports, the gate's slots and the leader's part each have a file. Log lines keep their targets.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,10 +1,20 @@
 //! The control thread of this node: membership, health of servers, leaders of services, leases of slots.
-
+//!
+//! * `service`: the control of one service; `server_states`: which servers are leaving, lost or cold.
+//! * `roles`: what this node proposes to the log; `sending`: its datagrams; `publication`: what other threads read.
+
+mod publication;
+mod roles;
+mod sending;
+mod server_states;
 mod service;
 pub mod view;
 
+use self::{
+    server_states::ServerStates,
+    service::{Context, ServiceControl},
+};
 use crate::{
-    carriers::Carriers,
     error::{Error, Result},
     log_thread::{Command, LogView},
     shared::Shared,
@@ -12,26 +22,20 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use redwingtrestle_core::{
-    connection::limits,
-    ids::{DataCentre, NodeId, Region, ServerAddr, ServiceName, StartId, Version},
+    ids::{DataCentre, NodeId, Region, ServerAddr, ServiceName, Version},
     process::{
         drain::{DrainAction, DrainOptions, DrainTracker},
-        ejections::ServerState,
-        evidence::EvidenceReport,
-        heartbeat::{self, NodeAddresses, NodeState, MAX_DRAINS},
-        leader_assignment,
-        membership::{LocalNode, Member, MemberEvent, Membership, MembershipOptions, VmEntry},
-        rendezvous::rendezvous,
-        slot_leases::DemandReport,
+        ejections::Announcement,
+        heartbeat::{Heartbeat, NodeAddresses, NodeState},
+        membership::{LocalNode, MemberEvent, Membership, MembershipOptions, VmEntry},
     },
     time::{Span, Timestamp},
-    version::config_state::{ConfigState, LeaderAssignment, Record},
+    version::config_state::ConfigState,
 };
-use redwingtrestle_wire::peer::{self, Datagram, ServiceEvidence};
-use service::{Context, Output, ServiceControl};
+use redwingtrestle_wire::peer::{self, Datagram};
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
-    net::{IpAddr, SocketAddr},
+    net::SocketAddr,
     sync::{
         atomic::{AtomicBool, Ordering},
         Arc,
@@ -39,7 +43,6 @@
     thread::JoinHandle,
     time::Duration,
 };
-use view::{takes_callers, ControlView, MemberView};
 
 /// The region for which leaders are assigned.
 ///
@@ -47,6 +50,9 @@
 /// down to the floor, so a service has one leader for all regions.
 pub const LEADER_REGION: &str = "all";
 
+/// The target of the thread's log lines, by which operators filter them.
+const LOG_TARGET: &str = module_path!();
+
 /// The longest time between two rounds.
 ///
 /// Waking up takes most of this thread's processor time: with 20 ms it used a fifth more.
@@ -64,25 +70,6 @@
 /// The process counts as paused after a longer time between two rounds.
 const PAUSE_THRESHOLD: Span = Span::from_millis(1000);
 
-/// How long a node waits until it repeats a proposal that has not appeared in the log.
-const PROPOSAL_RETRY: Span = Span::from_secs(2);
-
-/// A node that has started does not propose itself as a leader for this long.
-///
-/// A leader keeps its role until its node stops, so the first node of a fleet would become the leader of all
-/// services if it did not wait for others to be recorded and to serve. In the meantime, nodes use the equal
-/// split and eject nothing.
-const PROPOSAL_DELAY: Span = Span::from_secs(3);
-
-/// A backend server counts as lost after its VM has been absent from the list of VMs for this long.
-const SERVER_LOST_AFTER: Span = Span::from_secs(10);
-
-/// The longest chain of successors that is followed.
-///
-/// Successors are remembered for 20 min. A rolling restart of a fleet at one node per minute creates no
-/// longer chain in that time.
-const MAX_SUCCESSORS: usize = 32;
-
 /// An event for the control thread.
 #[derive(Debug)]
 pub enum Event {
@@ -139,10 +126,7 @@
     next_publish: Timestamp,
     proposed_at: HashMap<ServiceName, Timestamp>,
     left_recorded_at: HashMap<NodeId, Timestamp>,
-    vm_seen_at: HashMap<IpAddr, Timestamp>,
-    vm_list_at: Option<Timestamp>,
-    cold_until: HashMap<ServerAddr, Timestamp>,
-    lost_servers: BTreeSet<ServerAddr>,
+    server_states: ServerStates,
 }
 
 impl Control {
@@ -185,10 +169,7 @@
             next_publish: now,
             proposed_at: HashMap::new(),
             left_recorded_at: HashMap::new(),
-            vm_seen_at: HashMap::new(),
-            vm_list_at: None,
-            cold_until: HashMap::new(),
-            lost_servers: BTreeSet::new(),
+            server_states: ServerStates::default(),
             shared,
         }
     }
@@ -233,8 +214,7 @@
         match event {
             Event::Datagram(datagram) => self.handle_datagram(now, *datagram),
             Event::VmList(entries) => {
-                self.vm_list_at = Some(now);
-                self.vm_seen_at.extend(entries.iter().map(|e| (e.ip, now)));
+                self.server_states.record_vm_list(now, &entries);
                 let leaving = entries.iter().filter(|e| e.leaving).map(|e| e.ip);
                 self.drain.apply_vm_list(now, leaving);
                 self.membership.update_vm_list(now, &entries);
@@ -247,7 +227,7 @@
 
     fn handle_datagram(&mut self, now: Timestamp, datagram: Datagram) {
         match datagram {
-            Datagram::Heartbeat(h) => match heartbeat::Heartbeat::try_from(*h) {
+            Datagram::Heartbeat(h) => match Heartbeat::try_from(*h) {
                 Ok(heartbeat) => {
                     self.membership.receive_heartbeat(now, &heartbeat);
                     self.drain.merge_notices(now, &heartbeat.drains);
@@ -256,10 +236,7 @@
             },
             Datagram::Evidence(evidence) => self.handle_evidence(now, &evidence),
             Datagram::Announcement(a) => {
-                let Ok(a) = redwingtrestle_core::process::ejections::Announcement::try_from(a)
-                else {
-                    return;
-                };
+                let Ok(a) = Announcement::try_from(a) else { return };
                 if let Some(service) = self.services.get_mut(&a.service) {
                     service.accept_announcement(now, &a);
                 }
@@ -337,73 +314,22 @@
             // Servers of the first configuration after a start are not cold: they may have run for a long time.
             let added = service.servers.iter().filter(|s| !first && !known.contains(&s.addr));
             for server in added {
-                self.cold_until.insert(server.addr, now + service.cold_start);
+                self.server_states.set_cold(server.addr, now + service.cold_start);
                 gate.set_cold(server.addr, now + service.cold_start);
             }
-            match self.services.get_mut(name) {
-                Some(control) => control.configure(self.version, spec, gate.clone()),
-                None => {
-                    let (local, policy) = (self.shared.id, self.shared.settings.policy);
-                    let control = ServiceControl::new(
-                        now,
-                        local,
-                        name.clone(),
-                        policy,
-                        self.version,
-                        spec,
-                        gate.clone(),
-                    );
-                    self.services.insert(name.clone(), control);
-                }
+            if let Some(control) = self.services.get_mut(name) {
+                control.configure(self.version, spec, gate.clone());
+                continue;
             }
+            let (local, policy) = (self.shared.id, self.shared.settings.policy);
+            let gate = gate.clone();
+            let control =
+                ServiceControl::new(now, local, name.clone(), policy, self.version, spec, gate);
+            self.services.insert(name.clone(), control);
         }
         self.update_server_states(now);
     }
 
-    fn update_server_states(&mut self, now: Timestamp) {
-        self.update_lost_servers(now);
-        self.cold_until.retain(|_, until| *until > now);
-        let (drain, cold, lost) = (&self.drain, &self.cold_until, &self.lost_servers);
-        let state = |server: ServerAddr| {
-            if drain.is_leaving(server) {
-                ServerState::Draining
-            } else if lost.contains(&server) {
-                ServerState::Lost
-            } else if cold.contains_key(&server) {
-                ServerState::Cold
-            } else {
-                ServerState::Up
-            }
-        };
-        for service in self.services.values_mut() {
-            service.set_server_states(now, state);
-        }
-    }
-
-    /// Updates which servers are lost, because their VMs are no longer on the list of VMs. Servers whose VMs
-    /// are back start cold.
-    fn update_lost_servers(&mut self, now: Timestamp) {
-        let Some(last) = self.vm_list_at else { return };
-        let gates = self.shared.gates.load();
-        let active = self.shared.active.load();
-        let Some(active) = &*active else { return };
-        for (name, service) in &active.spec.services {
-            for s in &service.servers {
-                let Some(seen) = self.vm_seen_at.get(&s.addr.vm()) else { continue };
-                let absent = last.since(*seen) >= SERVER_LOST_AFTER;
-                if absent {
-                    self.lost_servers.insert(s.addr);
-                } else if self.lost_servers.remove(&s.addr) {
-                    let until = now + service.cold_start;
-                    self.cold_until.insert(s.addr, until);
-                    if let Some(gate) = gates.get(name) {
-                        gate.set_cold(s.addr, until);
-                    }
-                }
-            }
-        }
-    }
-
     fn update_members(&mut self, now: Timestamp, state: &ConfigState) {
         let local = self.shared.id;
         let members = state.members.keys().copied();
@@ -428,40 +354,19 @@
         self.are_carriers_new = true;
     }
 
-    /// Publishes the carriers of the services that not every member carries, then updates the gates.
-    ///
-    /// Requests that a gate refuses are forwarded at once, so the carriers have to be published first.
-    fn publish_carriers(&mut self) {
-        let entry = |m: &Member| Some((m.node, m.addresses.as_ref()?.entry, takes_callers(m)));
-        let mut peers: Vec<_> = self.membership.members().filter_map(entry).collect();
-        peers.sort_unstable();
-        if peers == self.published_peers && !std::mem::take(&mut self.are_carriers_new) {
-            return;
-        }
-        self.published_peers = peers;
-        let local = self.shared.id;
-        let mut all = HashMap::new();
-        for (name, service) in &self.services {
-            let carriers = service.carriers();
-            if carriers.len() >= self.recorded.len() && service.carries(&local) {
-                continue;
+    fn update_server_states(&mut self, now: Timestamp) {
+        if let Some(active) = &*self.shared.active.load() {
+            let gates = self.shared.gates.load();
+            for (name, server, until) in self.server_states.update_lost(now, &active.spec) {
+                if let Some(gate) = gates.get(&name) {
+                    gate.set_cold(server, until);
+                }
             }
-            let find = |node: &NodeId| {
-                let position =
-                    self.published_peers.binary_search_by_key(node, |peer| peer.0).ok()?;
-                Some((self.published_peers[position].1, self.published_peers[position].2))
-            };
-            let order = limits::carriers_by_preference(name, &local, carriers);
-            let mut order: Vec<_> = order.iter().filter_map(find).collect();
-            // Carriers that do not take callers, such as leaving or suspect ones, are tried last.
-            order.sort_by_key(|(_, takes)| !takes);
-            let entries = order.into_iter().map(|(entry, _)| entry).collect();
-            let carriers = Carriers { is_local: service.carries(&local), entries };
-            all.insert(name.clone(), Arc::new(carriers));
         }
-        self.shared.carriers.store(Arc::new(all));
-        for service in self.services.values() {
-            service.update_admission();
+        self.server_states.expire_cold(now);
+        let (states, drain) = (&self.server_states, &self.drain);
+        for service in self.services.values_mut() {
+            service.set_server_states(now, |server| states.state(server, drain));
         }
     }
 
@@ -508,265 +413,6 @@
         }
         self.shared.entries.store(Arc::new(entries));
     }
-
-    /// Returns the nodes that may get a role: recorded, serving, and with heartbeats in both directions. The
-    /// last condition does not apply to this node itself.
-    fn eligible_nodes(&self, now: Timestamp) -> Vec<NodeId> {
-        let local = self.shared.id;
-        let serving = |node: &NodeId| match self.membership.member(node.addr) {
-            _ if *node == local => self.shared.node_state() == NodeState::Serving,
-            Some(m) => m.state == NodeState::Serving && self.membership.is_usable(now, *node),
-            None => false,
-        };
-        self.alive.iter().copied().filter(serving).collect()
-    }
-
-    /// Proposes this node as the leader of services that have no live leader among their carriers, if it is the
-    /// preferred choice.
-    fn propose_leaders(&mut self, now: Timestamp) {
-        if !self.log_view.log_up || now.since(self.started_at) < PROPOSAL_DELAY {
-            return;
-        }
-        let mut led = BTreeMap::new();
-        let mut vacant = BTreeMap::new();
-        for (name, service) in &self.services {
-            match service.assignment() {
-                Some(a) if service.carries(&a.node) && self.is_leader_valid(a) => {
-                    *led.entry(a.node).or_default() += 1;
-                }
-                assignment => {
-                    vacant.insert(name, assignment.map_or(0, |a| a.term));
-                }
-            }
-        }
-        if vacant.is_empty() {
-            return;
-        }
-        let carries = |name: &ServiceName, node: &NodeId| self.services[name].carries(node);
-        let chosen = leader_assignment::assign_leaders(
-            vacant.keys().copied(),
-            &led,
-            &self.eligible_nodes(now),
-            carries,
-        );
-        for (name, _) in chosen.into_iter().filter(|(_, node)| *node == self.shared.id) {
-            let is_retry_due =
-                self.proposed_at.get(name).is_none_or(|at| now.since(*at) >= PROPOSAL_RETRY);
-            if !is_retry_due {
-                continue;
-            }
-            self.proposed_at.insert(name.clone(), now);
-            let record = Record::LeaderAssigned {
-                service: name.clone(),
-                region: self.region.clone(),
-                node: self.shared.id,
-                base_term: vacant[name],
-            };
-            let _ = self.shared.commands.try_push(Command::Append(record));
-        }
-    }
-
-    /// Returns whether a leader is still alive and not leaving.
-    ///
-    /// A leader from which only this node gets no heartbeats stays: other nodes report it as alive, and a new
-    /// leader could not complete its fencing while the link is cut.
-    fn is_leader_valid(&self, assignment: LeaderAssignment) -> bool {
-        let node = assignment.node;
-        if node == self.shared.id {
-            return self.shared.node_state() != NodeState::Leaving;
-        }
-        let member = self.membership.member(node.addr);
-        member.is_some_and(|m| m.node == node && m.state != NodeState::Leaving)
-    }
-
-    /// Records in the log which members are gone, if this node is the one responsible for that.
-    fn record_left_members(&mut self, now: Timestamp, state: &ConfigState) {
-        let eligible = self.eligible_nodes(now);
-        let first = eligible.iter().copied().max_by_key(|n| rendezvous(b"members", *n));
-        if first != Some(self.shared.id) || !self.log_view.log_up {
-            return;
-        }
-        for node in state.members.keys().copied() {
-            let is_retry_due =
-                self.left_recorded_at.get(&node).is_none_or(|at| now.since(*at) >= PROPOSAL_RETRY);
-            if is_retry_due && self.membership.is_gone(now, node) {
-                self.left_recorded_at.insert(node, now);
-                let _ = self.shared.commands.try_push(Command::Append(Record::MemberLeft { node }));
-            }
-        }
-        self.left_recorded_at.retain(|node, _| state.members.contains_key(node));
-    }
-
-    fn heartbeat(&mut self, now: Timestamp) {
-        let state = self.shared.node_state();
-        let term = self.log_view.state.as_ref().map_or(0, |s| highest_term(s));
-        let local = self.membership.local();
-        local.state = state;
-        local.version = self.version;
-        local.term = term;
-        let drains = self.drain.notices(now, MAX_DRAINS);
-        for to in self.membership.targets(now, &mut self.rng) {
-            let heartbeat = self.membership.heartbeat(now, to, drains.clone());
-            self.send(to, &Datagram::Heartbeat(Box::new((&heartbeat).into())));
-        }
-        self.shared.peers.store(Arc::new(self.membership.peer_summary(now)));
-    }
-
-    /// Calls `work` for each service and sends the resulting messages.
-    fn run_services(
-        &mut self,
-        now: Timestamp,
-        work: fn(&mut ServiceControl, Timestamp, &Context<'_>) -> Vec<Output>,
-    ) {
-        let (local, recorded, alive) = (self.shared.id, &self.recorded, &self.alive[..]);
-        let context = Context { local, recorded, alive, membership: &self.membership };
-        let mut evidence: BTreeMap<NodeId, Vec<ServiceEvidence>> = BTreeMap::new();
-        let mut datagrams = Vec::new();
-        for (name, service) in &mut self.services {
-            for output in work(service, now, &context) {
-                match output {
-                    Output::Evidence(leader, reports) => {
-                        let (report, demand): &(EvidenceReport, DemandReport) = &reports;
-                        let wire = ServiceEvidence::new(report, demand, service.servers());
-                        evidence.entry(leader).or_default().push(wire);
-                    }
-                    Output::Announcement(node, a) => {
-                        datagrams.push((node.addr, Datagram::Announcement((&a).into())));
-                    }
-                    Output::SlotLease(lease) => {
-                        let wire =
-                            peer::SlotLease::new(name, self.version, &lease, service.servers());
-                        datagrams.push((lease.node.addr, Datagram::SlotLease(wire)));
-                    }
-                }
-            }
-        }
-        for (to, datagram) in datagrams {
-            self.send(to, &datagram);
-        }
-        for (leader, services) in evidence {
-            self.send_evidence(now, leader.addr, services);
-        }
-    }
-
-    /// Sends evidence in one datagram if it fits, otherwise in one for each service.
-    fn send_evidence(&self, now: Timestamp, to: SocketAddr, services: Vec<ServiceEvidence>) {
-        let wrap = |services| {
-            Datagram::Evidence(peer::Evidence {
-                node: self.shared.id,
-                sent: now.as_micros(),
-                version: self.version.0,
-                services,
-            })
-        };
-        let whole = wrap(services.clone());
-        if whole.encode().is_ok() || services.len() == 1 {
-            self.send(to, &whole);
-            return;
-        }
-        for service in services {
-            self.send(to, &wrap(vec![service]));
-        }
-    }
-
-    fn send(&self, to: SocketAddr, datagram: &Datagram) {
-        let kind = match datagram {
-            Datagram::Heartbeat(_) => "heartbeat",
-            Datagram::Evidence(_) => "evidence",
-            Datagram::Announcement(_) => "announcement",
-            Datagram::SlotLease(_) => "grant",
-        };
-        match datagram.encode() {
-            Ok(bytes) => {
-                metrics::counter!("redwing_control_sent_bytes_total", "kind" => kind)
-                    .increment(bytes.len() as u64);
-                self.shared.outbox.push_or_drop((to, bytes));
-            }
-            Err(e) => log::error!("cannot encode a datagram of kind {kind}, it is not sent: {e}"),
-        }
-    }
-
-    /// Lets a starting node serve once its configuration is the newest known, it has slots, and it can reach
-    /// a carrier of each service that it does not carry itself.
-    fn serve_when_ready(&self, now: Timestamp) {
-        let slots = self.services.values().all(|s| s.has_slots(now));
-        // The wait for carriers is limited, because a service without any must not block the other services.
-        let routed = now.since(self.started_at) >= MembershipOptions::default().lost
-            || self.shared.carriers.load().values().all(|c| c.is_local || !c.entries.is_empty());
-        if self.log_view.is_current
-            && slots
-            && routed
-            && !self.shared.ready.swap(true, Ordering::SeqCst)
-        {
-            log::info!(version = self.version.0; "node serves");
-        }
-    }
-
-    /// Returns the entry addresses for callers. This node's own is the first while it serves, else absent.
-    fn caller_entries(&self) -> Vec<SocketAddr> {
-        let own = self.shared.settings.entry_address();
-        let serving = self.shared.node_state() == NodeState::Serving;
-        let others = self.membership.members().filter(|m| takes_callers(m));
-        let others = others.filter_map(|m| m.addresses.as_ref().map(|a| a.entry));
-        serving.then_some(own).into_iter().chain(others).collect()
-    }
-
-    /// Publishes this thread's state, for forwarding and for operators.
-    fn publish(&self, now: Timestamp) {
-        let members: Vec<MemberView> = self
-            .membership
-            .members()
-            .map(|m| {
-                let (last_heartbeat_at, receives_heartbeats) =
-                    self.membership.link(now, m.node.addr);
-                let usable = self.membership.is_usable(now, m.node);
-                MemberView { member: m.clone(), usable, last_heartbeat_at, receives_heartbeats }
-            })
-            .collect();
-        let known = members.iter().filter_map(|m| m.member.addresses.as_ref().map(|a| a.entry));
-        self.shared.known_entries.store(Some(Arc::new(known.collect())));
-        let usable: Vec<NodeId> =
-            members.iter().filter(|m| m.usable).map(|m| m.member.node).collect();
-        metrics::gauge!("redwing_peers_usable").set(usable.len() as f64);
-        let view = ControlView {
-            at: now,
-            usable,
-            homes: self.key_homes(&members),
-            members,
-            services: self.services.iter().map(|(n, s)| (n.clone(), s.to_view(now))).collect(),
-            leaving: self.drain.sources(now).collect(),
-        };
-        self.shared.view.store(Arc::new(view));
-    }
-
-    /// Returns the entry address that serves the keys of each known process.
-    fn key_homes(&self, members: &[MemberView]) -> HashMap<StartId, SocketAddr> {
-        let mut homes =
-            HashMap::from([(self.shared.id.start, self.shared.settings.entry_address())]);
-        let entry =
-            |m: &MemberView| Some((m.member.node.start, m.member.addresses.as_ref()?.entry));
-        homes.extend(members.iter().filter_map(entry));
-        let mut moved = HashMap::new();
-        for (node, successor) in self.membership.successors() {
-            // A successor may have stopped as well and have a successor of its own.
-            let mut last = successor;
-            for _ in 0..MAX_SUCCESSORS {
-                match self.membership.successor(last) {
-                    Some(next) if next != node => last = next,
-                    _ => break,
-                }
-            }
-            if let Some(entry) = homes.get(&last.start) {
-                moved.insert(node.start, *entry);
-            }
-        }
-        homes.extend(moved);
-        homes
-    }
-}
-
-fn highest_term(state: &ConfigState) -> u64 {
-    state.leaders.values().map(|a| a.term).max().unwrap_or(0)
 }
 
 fn log_member_event(event: MemberEvent) {
--- a/crates/node/src/control/service.rs
+++ b/crates/node/src/control/service/mod.rs
@@ -1,16 +1,21 @@
 //! The control of one service at this node: reports evidence and demand, applies ejections and slot leases,
 //! and decides about both if this node is the service's leader.
+//!
+//! * `reports`: evidence and demand for the leader; `gate_slots`: the servers and slots that the gate may use.
+//! * `leader_role`: what the leader does in addition; `log_lines`: the log lines about servers.
 
-use super::{
-    view::{ServerView, ServiceView},
-    GATE_UPDATE_INTERVAL,
-};
+mod gate_slots;
+mod leader_role;
+mod log_lines;
+mod reports;
+
+use self::{leader_role::LeaderRole, log_lines::log_action};
+use super::view::{ServerView, ServiceView};
 use crate::{gate::Gate, settings::Policy};
 use redwingtrestle_core::{
     connection::limits::{self, connection_share},
     ids::{NodeId, ServerAddr, ServiceName, Version},
     process::{
-        balancer::{self, ServerSlots, FULL_WEIGHT},
         ejections::{self, Announcement, Ejections, ServerState, Term, Usage, View},
         evidence::{EvidenceCounts, EvidenceReport},
         membership::Membership,
@@ -30,19 +35,12 @@
     sync::Arc,
 };
 
+/// The target of the log lines about services, by which operators filter them.
+const LOG_TARGET: &str = module_path!();
+
 /// How often evidence and demand are collected.
 const REPORT_INTERVAL: Span = Span::from_millis(100);
 
-/// How often the leader evaluates the evidence that has arrived.
-const EVALUATION_INTERVAL: Span = Span::from_millis(50);
-
-/// The leader waits for the acknowledgements of a node until this long after the last sign that the node may
-/// apply announcements.
-///
-/// This is twice the time to live of an announcement. It matters for nodes that were carriers until recently
-/// or wrongly act as carriers; the leader always waits for actual carriers.
-const ACKNOWLEDGEMENT_GRACE: Span = Span::from_secs(6);
-
 /// The state of the control thread that its services need.
 #[derive(Debug)]
 pub(super) struct Context<'a> {
@@ -65,37 +63,6 @@
     SlotLease(SlotLease),
 }
 
-/// The state that only the leader of a service has.
-#[derive(Debug)]
-struct LeaderRole {
-    leader: ServiceLeader,
-    allocator: LeaseAllocator,
-    last_tick: Timestamp,
-    /// The time of the last sign that a node may apply announcements. Used if not all nodes carry the service.
-    may_apply_at: HashMap<NodeId, Timestamp>,
-}
-
-impl LeaderRole {
-    /// Determines for which recorded members the leader has to wait.
-    ///
-    /// Nodes that do not carry the service neither get announcements nor acknowledge them. Such a node may
-    /// still apply an old announcement. Until it has read the assignment of this term, it may follow an
-    /// earlier leader as a carrier, and as long as it sends reports, it acts as a carrier.
-    fn update_awaited(&mut self, now: Timestamp, carriers: &[NodeId], context: &Context<'_>) {
-        let term = self.leader.term();
-        let mut awaited = context.recorded.clone();
-        awaited.retain(|node| {
-            let may_apply_at = self.may_apply_at.entry(*node).or_insert(now);
-            if context.membership.term(*node) < term.0 {
-                *may_apply_at = now;
-            }
-            carriers.contains(node) || now.since(*may_apply_at) <= ACKNOWLEDGEMENT_GRACE
-        });
-        self.may_apply_at.retain(|node, _| context.recorded.contains(node));
-        self.leader.set_recorded(awaited);
-    }
-}
-
 /// The control state of one service at this node.
 #[derive(Debug)]
 pub(super) struct ServiceControl {
@@ -328,8 +295,7 @@
         let shares = rank_shares(&self.spec);
         let mut allocator = LeaseAllocator::new(now, LeaseOptions::default(), term, &shares);
         allocator.set_members(now, &self.alive_carriers(context));
-        let mut role =
-            LeaderRole { leader, allocator, last_tick: now, may_apply_at: HashMap::new() };
+        let mut role = LeaderRole::new(now, leader, allocator);
         role.update_awaited(now, &self.carriers, context);
         self.role = Some(role);
     }
@@ -349,8 +315,7 @@
     /// Processes a node's acknowledgement, and its evidence if there is any, if this node is the leader.
     pub(super) fn acknowledge(&mut self, now: Timestamp, report: &EvidenceReport) {
         if let Some(role) = &mut self.role {
-            role.may_apply_at.insert(report.node, now);
-            role.leader.observe(now, report);
+            role.observe(now, report);
         }
     }
 
@@ -394,61 +359,6 @@
         outputs
     }
 
-    /// Returns the leader that this node reports to, if it reports at all.
-    fn report_target(&self) -> Option<LeaderAssignment> {
-        self.assignment.filter(|_| self.policy == Policy::Full && self.is_carrier)
-    }
-
-    /// Collects evidence and demand, and reports them if a report is due or a request was bad or slow.
-    fn collect_evidence(
-        &mut self,
-        now: Timestamp,
-        context: &Context<'_>,
-        outputs: &mut Vec<Output>,
-    ) {
-        let counts = self.gate.take_evidence(now);
-        self.ejections.observe(now, &counts);
-        for (server, counts) in counts {
-            self.pending_counts.entry(server).or_default().merge(&counts);
-        }
-        let Some(assignment) = self.report_target() else {
-            self.pending_counts.clear();
-            return;
-        };
-        let is_bad = self.pending_counts.values().any(|c| c.bad > 0 || c.slow > 0);
-        self.send_report(now, context, assignment, is_bad, outputs);
-    }
-
-    /// Reports evidence and demand to the leader, if that is due or urgent.
-    fn send_report(
-        &mut self,
-        now: Timestamp,
-        context: &Context<'_>,
-        assignment: LeaderAssignment,
-        is_urgent: bool,
-        outputs: &mut Vec<Output>,
-    ) {
-        let demand = self.gate.demand_by_rank();
-        let in_flight: Vec<_> = self.in_flight().into_iter().collect();
-        if !is_urgent && !self.holder.is_due(now, &demand, &in_flight) {
-            return;
-        }
-        let demand_report = self.holder.report(now, demand, &in_flight);
-        let report = EvidenceReport {
-            node: context.local,
-            service: self.name.clone(),
-            sent: now,
-            highest_term: self.ejections.highest_term(),
-            ack: self.ejections.ack(now),
-            servers: std::mem::take(&mut self.pending_counts).into_iter().collect(),
-        };
-        if assignment.node == context.local {
-            self.observe(now, &report, &demand_report);
-        } else {
-            outputs.push(Output::Evidence(assignment.node, Box::new((report, demand_report))));
-        }
-    }
-
     /// Returns the time at which `tick_urgent` next has something to do, if that is known.
     pub(super) fn next_urgent_tick(&self) -> Option<Timestamp> {
         self.report_target()?;
@@ -485,36 +395,22 @@
     /// Issues announcements of ejections and leases of slots, if this node is the leader.
     fn tick_leader(&mut self, now: Timestamp, context: &Context<'_>, outputs: &mut Vec<Output>) {
         let Some(role) = &mut self.role else { return };
-        let mut own_announcements = Vec::new();
-        let is_due = now.since(role.last_tick) >= EVALUATION_INTERVAL;
-        if is_due {
-            role.last_tick = now;
+        let mut actions = Vec::new();
+        if role.start_evaluation(now) {
             if self.carriers.len() < context.recorded.len() {
                 role.update_awaited(now, &self.carriers, context);
             }
+            actions = role.leader.tick(now);
         }
-        for action in if is_due { role.leader.tick(now) } else { Vec::new() } {
+        let mut own_announcements = Vec::new();
+        for action in actions {
             match action {
                 Action::Announce(node, a) if node == context.local => own_announcements.push(a),
                 Action::Announce(node, a) => outputs.push(Output::Announcement(node, a)),
                 other => log_action(&self.name, &other),
             }
         }
-        let mut leases = Vec::new();
-        if now >= role.allocator.next_tick() {
-            let outstanding = role.leader.outstanding();
-            let slots = self.spec.servers.iter().map(|s| {
-                let state = self.view.servers.get(&s.addr).map(|v| v.state);
-                let slots = match state {
-                    Some(ServerState::Up | ServerState::Cold) if outstanding.contains(&s.addr) => 1,
-                    Some(ServerState::Up | ServerState::Cold) => s.slots,
-                    _ => 0,
-                };
-                (s.addr, slots)
-            });
-            role.allocator.set_servers(&slots.collect::<Vec<_>>());
-            leases = role.allocator.tick(now);
-        }
+        let leases = role.allocate(now, &self.spec, &self.view);
         for announcement in own_announcements {
             self.accept_announcement(now, &announcement);
         }
@@ -527,45 +423,6 @@
         }
     }
 
-    /// Passes the servers and slots that may be used to the gate.
-    fn update_gate(&mut self, now: Timestamp) {
-        // A lease that would expire before the next renewal of the gate is not used.
-        let usable: HashMap<ServerAddr, u32> =
-            self.usable_slots(now + GATE_UPDATE_INTERVAL).into_iter().collect();
-        let retired = self.retired_in_flight();
-        let mut usable_servers = Vec::new();
-        for s in &self.spec.servers {
-            let usage = self.usage(now, s.addr);
-            let old = self.usages.get(&s.addr).map(|u| u.0);
-            if old != Some(usage) {
-                if let (Some(Usage::Weight(_)), Usage::Closed) = (old, usage) {
-                    metrics::counter!(
-                        "redwing_servers_taken_out_total", "service" => self.name.to_string()
-                    )
-                    .increment(1);
-                }
-                self.usages.insert(s.addr, (usage, now));
-                log_usage(&self.name, s.addr, old, usage);
-            }
-            // A lease from before a configuration change may have more slots than the server has now.
-            let slots = usable.get(&s.addr).copied().unwrap_or(0).min(s.slots);
-            let slots = slots.min(self.connection_shares.get(&s.addr).copied().unwrap_or(slots));
-            let slots = slots.saturating_sub(retired.get(&s.addr).copied().unwrap_or(0));
-            let (mode, slots, weight) = match usage {
-                Usage::Weight(w) => {
-                    (balancer::ServerMode::Serving, slots, u32::from(w) * FULL_WEIGHT / 100)
-                }
-                // The node that tests a server in probation may use one slot without a lease.
-                Usage::Probation => (balancer::ServerMode::Probation, 1, FULL_WEIGHT),
-                Usage::Closed => continue,
-            };
-            if slots > 0 {
-                usable_servers.push(ServerSlots { server: s.addr, slots, weight, mode });
-            }
-        }
-        self.gate.set_slots(now, self.version, &usable_servers, self.holder.shares(now));
-    }
-
     /// Returns the slots of each server that this node may use.
     fn usable_slots(&self, now: Timestamp) -> Vec<(ServerAddr, u32)> {
         match self.policy {
@@ -626,43 +483,3 @@
 fn rank_shares(spec: &ServiceSpec) -> Vec<u32> {
     spec.ranks.iter().map(|r| r.share).collect()
 }
-
-/// Logs that a server is no longer or again used at this node. Changes of its weight alone are not logged.
-fn log_usage(service: &ServiceName, server: ServerAddr, old: Option<Usage>, new: Usage) {
-    let unchanged = match old {
-        Some(old) => std::mem::discriminant(&old) == std::mem::discriminant(&new),
-        None => matches!(new, Usage::Weight(_)),
-    };
-    if !unchanged {
-        let usage = match new {
-            Usage::Weight(_) => "in use",
-            Usage::Probation => "in probation",
-            Usage::Closed => "out of use",
-        };
-        log::info!(service = service.as_str(), server:% = server, usage = usage;
-            "use of a backend server changed");
-    }
-}
-
-fn log_action(service: &ServiceName, action: &Action) {
-    let service = service.as_str();
-    match action {
-        Action::Ejected(server) => {
-            metrics::counter!("redwing_ejections_total", "service" => service.to_string())
-                .increment(1);
-            log::warn!(service = service, server:% = server; "backend server ejected");
-        }
-        Action::Readmitted(server) => {
-            log::info!(service = service, server:% = server; "backend server re-admitted");
-        }
-        Action::Restored(server) => {
-            log::warn!(service = service, server:% = server;
-                "backend server re-admitted early because the floor needs its slots");
-        }
-        Action::ServiceAtFault => {
-            log::debug!(service = service;
-                "no server is ejected: over half are suspect, so the whole service is at fault");
-        }
-        Action::Announce(..) => {}
-    }
-}
