Leave the store only to nodes that follow its era

What callers would see: in a fleet of two versions, requests kept going to a server that drained or had ended, and none went to one that joined, at nodes of the new version whose data centre had two nodes of the version before with lower addresses. The same would hold for a data centre whose readers are cut off from a restored store.

Cause: the two readers of a data centre were the lowest addresses that the store responds to, whatever era their positions are of. A new node takes nothing about servers from a position of an earlier era, and positions of the version before carry none (era 0), while the store of the users sends 1 before any restore.

Change: is_reader and is_prober count only nodes whose position is of the known era or a later one. The choice of the writer is as before: what it writes does not depend on the era. With a store that sends no era nothing changes.

Ruled out: taking the offsets of an old node for those of the current era; after a restore they are not.

Evidence: node_reads_the_store_beside_readers_of_the_version_before failed before (the draining was not known after 5 s) and passes.

--- a/crates/core/src/process/peer_table.rs
+++ b/crates/core/src/process/peer_table.rs
@@ -42,6 +42,13 @@
     pub store_reachable: bool,
 }
 
+impl NodeStatus {
+    /// Returns whether the node relays registrations of the era `era` of the store, or of a later one.
+    fn follows(&self, era: u64) -> bool {
+        self.registry_position.era >= era
+    }
+}
+
 /// Limits of the peer table that do not depend on the size of the fleet; the others are in [`FleetSize`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerTableOptions {
@@ -279,18 +286,25 @@
         entries
     }
 
-    /// Returns whether this node watches the store itself, as one of the lowest addresses of its data centre that the
-    /// store responds to. The other nodes get the records from these readers, because each call to the store is
-    /// charged.
-    pub fn is_reader(&self, now: Timestamp) -> bool {
-        self.preceding(now).filter(|s| s.zone == self.zone).count() < self.options.store_readers
+    /// Returns whether this node, which knows the era `era` of the store, watches the store itself, as one of the lowest
+    /// addresses of its data centre that the store responds to. The other nodes get the records from these readers,
+    /// because each call to the store is charged.
+    ///
+    /// A node whose position is of an earlier era has nothing to relay: it is cut off from the restored store, or of a
+    /// version that does not follow eras. The store is not left to it.
+    pub fn is_reader(&self, now: Timestamp, era: u64) -> bool {
+        let readers = self.preceding(now).filter(|s| s.zone == self.zone && s.follows(era));
+        readers.count() < self.options.store_readers
     }
 
-    /// Returns whether this node probes an unreachable store often, as one of the lowest addresses of its data centre.
-    /// The other nodes learn from these probers when the store responds again.
-    pub fn is_prober(&self, now: Timestamp) -> bool {
+    /// Returns whether this node, which knows the era `era` of the store, probes an unreachable store often, as one of
+    /// the lowest addresses of its data centre. The other nodes learn from these probers when the store responds again.
+    pub fn is_prober(&self, now: Timestamp, era: u64) -> bool {
         let precedes = |addr: SocketAddr, s: &NodeStatus| {
-            s.zone == self.zone && s.state != NodeState::Stopping && addr < self.own
+            s.zone == self.zone
+                && s.state != NodeState::Stopping
+                && addr < self.own
+                && s.follows(era)
         };
         self.live_peers(now).filter(|(addr, s)| precedes(*addr, s)).count()
             < self.options.store_readers
--- a/crates/core/tests/peer_table.rs
+++ b/crates/core/tests/peer_table.rs
@@ -2,6 +2,7 @@
 
 use rand::{rngs::StdRng, SeedableRng};
 use redwingtrestle_core::{
+    cases,
     process::{
         peer_table::{NodeState, NodeStatus, PeerTable, PeerTableOptions},
         stream_position::StreamPosition,
@@ -78,14 +79,14 @@
 #[test]
 fn two_nodes_of_a_data_centre_follow_the_store() {
     let mut peers = peers();
-    assert!(!peers.is_reader(at(100)));
+    assert!(!peers.is_reader(at(100), 0));
     assert!(!peers.is_writer(at(100)));
     for number in [1, 2, 3] {
         let status = NodeStatus { store_reachable: false, ..status(number, "a", NodeState::Ready) };
         peers.record_status(at(100), addr(number), status);
     }
-    assert!(peers.is_reader(at(200)), "only node 4 has precedence");
-    assert!(peers.is_reader(at(9_000)), "all peers are silent");
+    assert!(peers.is_reader(at(200), 0), "only node 4 has precedence");
+    assert!(peers.is_reader(at(9_000), 0), "all peers are silent");
     assert!(peers.is_writer(at(9_000)));
 }
 
@@ -97,11 +98,11 @@
         let status = NodeStatus { store_reachable: false, ..status(number, "a", NodeState::Ready) };
         peers.record_status(at(100), addr(number), status);
     }
-    assert!(!peers.is_prober(at(200)));
+    assert!(!peers.is_prober(at(200), 0));
     for number in [2, 3, 4] {
         peers.record_status(at(300), addr(number), status(number, "a", NodeState::Stopping));
     }
-    assert!(peers.is_prober(at(400)), "only node 1 has precedence");
+    assert!(peers.is_prober(at(400), 0), "only node 1 has precedence");
 }
 
 /// Guards against asking a peer for updates that it does not have.
@@ -217,3 +218,38 @@
     assert_eq!(peers.newer_peer(at(100), 3, offset(9), &mut rng), Some(addr(8)));
     assert_eq!(peers.newer_peer(at(100), 3, restored, &mut rng), None);
 }
+
+/// Returns the peer table of [`peers`] in which these nodes have a position of the era 1 of the store.
+fn peers_after_a_restore(in_era: &[u8]) -> PeerTable {
+    let mut peers = peers();
+    for number in in_era {
+        let status = NodeStatus {
+            registry_position: StreamPosition::new(1, 4),
+            ..status(*number, "a", NodeState::Ready)
+        };
+        peers.record_status(at(0), addr(*number), status);
+    }
+    peers
+}
+
+fn reads_and_probes(in_era: &[u8], era: u64) -> (bool, bool) {
+    let peers = peers_after_a_restore(in_era);
+    (peers.is_reader(at(100), era), peers.is_prober(at(100), era))
+}
+
+fn choice((in_era, era): (&[u8], u64)) -> (bool, bool) {
+    reads_and_probes(in_era, era)
+}
+
+cases! {
+    choice;
+    /// Guards against a store that is left to nodes which do not follow its era, because they are cut off from the restored
+    /// store or of the version before.
+    store_is_not_left_to_nodes_of_an_earlier_era: (&[], 1) => (true, true),
+    /// Guards against a data centre with a single reader beside nodes of an earlier era.
+    store_is_not_left_to_one_node_of_the_era: (&[3], 1) => (true, true),
+    /// Guards against all nodes reading a restored store.
+    store_is_left_to_two_nodes_of_the_era: (&[2, 4], 1) => (false, false),
+    /// Guards against a node cut off from the restored store that reads instead of those that it responds to.
+    store_is_left_to_nodes_of_a_later_era: (&[1, 2], 0) => (false, false),
+}
--- a/crates/gateway/src/saved_state.rs
+++ b/crates/gateway/src/saved_state.rs
@@ -53,7 +53,7 @@
     }
     let mut announced_era: Option<u64> = None;
     let mut was_empty = true;
-    let mut saved_era = known_era(&shared);
+    let mut saved_era = shared.fleet().era();
     let mut isolated_intervals = 0;
     loop {
         tokio::time::sleep(SAVE_INTERVAL).await;
@@ -70,7 +70,7 @@
             read(&shared, &store).await;
         }
         // A restored store may have lost what this node saved there.
-        let era = known_era(&shared);
+        let era = shared.fleet().era();
         if announced_era.is_none_or(|announced| announced < era) && shared.is_reader() {
             let peer = shared.settings.peer.to_string();
             let result = store.save(&format!("{NODE_PREFIX}{peer}"), peer.as_bytes()).await;
@@ -119,11 +119,6 @@
     result.is_ok()
 }
 
-/// Returns the newest known era of the store, 0 before the first response.
-fn known_era(shared: &Shared) -> u64 {
-    shared.fleet().store_era.known().unwrap_or_default()
-}
-
 /// Reads and applies the saved state, and returns whether the store responded.
 async fn read<S: Store>(shared: &Shared, store: &S) -> bool {
     let Saved { values, era } = match store.read_saved().await {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -66,6 +66,23 @@
     pub rng: StdRng,
 }
 
+impl Fleet {
+    /// Returns the newest known era of the store, 0 before the first response.
+    pub fn era(&self) -> u64 {
+        self.store_era.known().unwrap_or_default()
+    }
+
+    /// Returns whether this node is one of those that watch the store for its data centre.
+    pub fn is_reader(&self, now: Timestamp) -> bool {
+        self.peers.is_reader(now, self.era())
+    }
+
+    /// Returns whether this node is one of those that call an unreachable store often.
+    pub fn is_prober(&self, now: Timestamp) -> bool {
+        self.peers.is_prober(now, self.era())
+    }
+}
+
 /// The state of the process.
 #[derive(Debug)]
 pub struct Shared {
@@ -178,7 +195,7 @@
     pub fn is_reader(&self) -> bool {
         let now = self.now();
         let watch_until = *self.watch_until.lock().unwrap_or_else(PoisonError::into_inner);
-        watch_until.is_some_and(|until| now < until) || self.fleet().peers.is_reader(now)
+        watch_until.is_some_and(|until| now < until) || self.fleet().is_reader(now)
     }
 
     /// Returns whether this node is the one that writes to the store for the whole fleet.
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -176,7 +176,7 @@
     let is_first_failure = !watch_state(&mut fleet, stream).is_failing();
     let position = watch_state(&mut fleet, stream).position();
     let mut pause = record_failure(&mut fleet, stream);
-    if position.is_some() && !fleet.peers.is_prober(now) {
+    if position.is_some() && !fleet.is_prober(now) {
         pause = NON_PROBER_PAUSE;
     }
     drop(fleet);
--- a/crates/gateway/tests/restored_store.rs
+++ b/crates/gateway/tests/restored_store.rs
@@ -12,7 +12,7 @@
     store::{Record, Stream},
 };
 use serde::Serialize;
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 use tokio::net::UdpSocket;
 
 fn config(version: u64) -> (Stream, Record) {
@@ -159,23 +159,66 @@
     Ready,
 }
 
-/// Guards against nodes that take those of the version before for lost while a fleet is replaced.
-#[tokio::test]
-async fn status_of_the_version_before_is_understood() {
-    let gateway = TestGateway::with_empty_store().await;
-    start_gossip(&gateway).await;
-    let old = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+/// Returns the status of a ready node of version 0.1 that the store responds to, in the gateway's data centre.
+fn old_status(entry: SocketAddr, config_version: u64) -> Vec<u8> {
     let status = OldDatagram::Status {
         start: 7,
-        entry: gateway.entry,
+        entry,
         data_centre: "a".into(),
         state: OldState::Ready,
-        config_version: 0,
+        config_version,
         registry_position: 0,
         store_reachable: true,
     };
-    let bytes = postcard::to_allocvec(&status).expect("an encoded status");
+    postcard::to_allocvec(&status).expect("an encoded status")
+}
+
+/// Guards against nodes that take those of the version before for lost while a fleet is replaced.
+#[tokio::test]
+async fn status_of_the_version_before_is_understood() {
+    let gateway = TestGateway::with_empty_store().await;
+    start_gossip(&gateway).await;
+    let old = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let bytes = old_status(gateway.entry, 0);
     old.send_to(&bytes, gateway.shared.settings.peer).await.expect("sent");
     let is_live = || gateway.shared.fleet().peers.live_count(gateway.shared.now()) == 2;
     gateway.wait_until("the old node is live", is_live).await;
 }
+
+/// Starts two nodes of version 0.1 with lower addresses than the gateway, which send their status every 50 ms.
+async fn start_old_nodes(gateway: &TestGateway) {
+    for _ in 0..2 {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+        let (peer, bytes) = (gateway.shared.settings.peer, old_status(gateway.entry, 0));
+        tokio::spawn(async move {
+            loop {
+                let _ = socket.send_to(&bytes, peer).await;
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        });
+    }
+    let is_live = || gateway.shared.fleet().peers.live_count(gateway.shared.now()) == 3;
+    gateway.wait_until("the old nodes are live", is_live).await;
+}
+
+/// Guards against draining that is never known because a node leaves the store to two nodes of the version before.
+#[tokio::test]
+async fn node_reads_the_store_beside_readers_of_the_version_before() {
+    let (one, two) = backends().await;
+    let gateway = TestGateway::with_empty_store().await;
+    gateway.store.restore(0, Vec::new());
+    start_gossip(&gateway).await;
+    start_old_nodes(&gateway).await;
+    for (stream, record) in [
+        config(1),
+        server(&one, RegistrationState::Ready, 1),
+        server(&two, RegistrationState::Ready, 1),
+    ] {
+        gateway.store.append(stream, record);
+    }
+    gateway.wait_until("the servers are known", || usable(&gateway) == 2).await;
+    // The call that waited while the old nodes appeared has ended, and a later one has to be made.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    gateway.store.register(two.registration(RegistrationState::Draining, 2));
+    gateway.wait_until("the draining is known", || usable(&gateway) == 1).await;
+}
