Ask nodes of the version before for the configuration without an era

What callers would see: a node of the new version that is cut off from the store, or behind, got no newer configuration from a peer of the version before, which refuses a call with a third parameter, and logged a refusal for each try.

Change: a peer whose status has no era is asked with two parameters, and with the highest offset, so that it returns the configuration only: its registrations are of no known era.

--- a/crates/core/src/process/peer_table.rs
+++ b/crates/core/src/process/peer_table.rs
@@ -323,6 +323,12 @@
         self.live_peers(now).filter(move |(addr, s)| precedes(*addr, s)).map(|(_, s)| s)
     }
 
+    /// Returns the era of the position that the node at `addr` announced, 0 for a node that does not follow eras.
+    pub fn era_of(&self, addr: SocketAddr) -> u64 {
+        let status = self.peers.get(&addr).and_then(|peer| peer.status.as_ref());
+        status.map_or(0, |s| s.registry_position.era)
+    }
+
     /// Returns one of the most recent nodes, if they have a newer configuration or newer registrations.
     ///
     /// The node is chosen at random, in the same data centre if possible. A large configuration then spreads from node
--- a/crates/gateway/src/peer_rpc.rs
+++ b/crates/gateway/src/peer_rpc.rs
@@ -169,7 +169,10 @@
 /// Gets the state that is newer than this node's from the node at `addr`, and applies it.
 pub async fn fetch(shared: Arc<Shared>, addr: SocketAddr) {
     let version = shared.routing_config.load().as_ref().map_or(0, |c| c.version());
-    let known = shared.fleet().server_watch.position().unwrap_or_default();
+    let (known, peer_era) = {
+        let fleet = shared.fleet();
+        (fleet.server_watch.position().unwrap_or_default(), fleet.peers.era_of(addr))
+    };
     // A new client for each call, so that a dead connection is never reused.
     let client = HttpClientBuilder::default()
         .request_timeout(CALL_TIMEOUT)
@@ -184,9 +187,11 @@
         }
     };
     let StreamPosition { era, offset } = known;
-    // Nodes of version 0.1 refuse a third parameter. It is needed only after the store was restored.
-    let params = match era {
-        0 => rpc_params![version, offset],
+    // Nodes of version 0.1 refuse a third parameter. Their registrations are of no known era, so beside a store that
+    // sends its era they are asked for the configuration only.
+    let params = match (era, peer_era) {
+        (0, _) => rpc_params![version, offset],
+        (_, 0) => rpc_params![version, u64::MAX],
         _ => rpc_params![version, offset, era],
     };
     let begun = shared.now();
--- a/crates/gateway/tests/restored_store.rs
+++ b/crates/gateway/tests/restored_store.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{routing_config, Backend, Behaviour, TestGateway};
+use common::{routing_config, Backend, Behaviour, MemoryStore, TestGateway};
+use jsonrpsee::{server::RpcModule, types::ErrorObjectOwned};
 use redwingtrestle_core::process::{
     registration::RegistrationState, stream_position::StreamPosition,
 };
@@ -12,6 +13,7 @@
     store::{Record, Stream},
 };
 use serde::Serialize;
+use serde_json::json;
 use std::{net::SocketAddr, time::Duration};
 use tokio::net::UdpSocket;
 
@@ -222,3 +224,36 @@
     gateway.store.register(two.registration(RegistrationState::Draining, 2));
     gateway.wait_until("the draining is known", || usable(&gateway) == 1).await;
 }
+
+/// Guards against a configuration that a new node cannot get from one of the version before, which refuses a call with an era.
+#[tokio::test]
+async fn configuration_of_a_node_of_the_version_before_is_taken() {
+    let one = Backend::start("i-1", Behaviour::Serve).await;
+    let store = MemoryStore::default();
+    store.restore(0, vec![config(1), server(&one, RegistrationState::Ready, 1)]);
+    let gateway = TestGateway::with_store(store).await;
+    gateway.wait_until("the server is known", || usable(&gateway) == 1).await;
+    start_gossip(&gateway).await;
+    let old = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let mut module = RpcModule::new(());
+    module
+        .register_method("gateway.state", |params, (), _| {
+            let (version, _): (u64, u64) = params.parse()?;
+            let state =
+                json!({"catalog": (version < 5).then(|| routing_config(5)), "servers": null});
+            Ok::<_, ErrorObjectOwned>(state)
+        })
+        .expect("a new method");
+    let server = jsonrpsee::server::Server::builder().set_config(peer_rpc::config(8));
+    let server =
+        server.build(old.local_addr().expect("bound")).await.expect("the TCP port is free");
+    let _server = server.start(module);
+    let (peer, bytes) = (gateway.shared.settings.peer, old_status(gateway.entry, 5));
+    tokio::spawn(async move {
+        loop {
+            let _ = old.send_to(&bytes, peer).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+    gateway.wait_until("it has the configuration", || version(&gateway) == Some(5)).await;
+}
