--- a/crates/core/src/process/stream_watch.rs
+++ b/crates/core/src/process/stream_watch.rs
@@ -25,6 +25,8 @@
     position: Option<StreamPosition>,
     is_expired: bool,
     failures: u32,
+    /// Snapshots that were due since the last records.
+    expirations: u32,
 }
 
 impl StreamWatch {
@@ -75,6 +77,7 @@
         }
         self.position = Some(self.position.map_or(end, |known| known.max(end)));
         self.failures = 0;
+        self.expirations = 0;
         true
     }
 
@@ -83,18 +86,34 @@
         self.position = Some(self.position.map_or(end, |known| known.max(end)));
     }
 
-    /// Records that the store no longer has the records at the position. The next call reads a snapshot.
+    /// Records that the known position is out of date. The next call reads a snapshot.
     pub fn mark_expired(&mut self) {
         self.is_expired = true;
     }
 
+    /// Records that a call found no records at the position, and returns the backoff before the next call, which reads
+    /// a snapshot. The first one is read at once. A store that has no records at the end of its own snapshot would
+    /// otherwise be called without a pause.
+    pub fn record_expiry(&mut self, rng: &mut impl Rng) -> Option<Span> {
+        self.is_expired = true;
+        let before = self.expirations;
+        self.expirations = before.saturating_add(1);
+        before.checked_sub(1).map(|repeated| backoff(repeated, rng))
+    }
+
     /// Records a failed call and returns the backoff before the next one.
-    ///
-    /// The backoff doubles up to the maximum. A jitter of up to a quarter keeps the nodes from calling in step.
     pub fn record_failure(&mut self, rng: &mut impl Rng) -> Span {
-        let doubled = MIN_BACKOFF.times(1 << self.failures.min(3));
-        self.failures = self.failures.saturating_add(1);
-        let backoff = doubled.min(MAX_BACKOFF).as_micros();
-        Span::from_micros(backoff - backoff / 4 + rng.random_range(0..=backoff / 4))
+        let before = self.failures;
+        self.failures = before.saturating_add(1);
+        backoff(before, rng)
     }
 }
+
+/// Returns the backoff after a failed call that follows `failures` others.
+///
+/// It doubles up to the maximum. A jitter of up to a quarter keeps the nodes from calling in step.
+fn backoff(failures: u32, rng: &mut impl Rng) -> Span {
+    let doubled = MIN_BACKOFF.times(1 << failures.min(3));
+    let backoff = doubled.min(MAX_BACKOFF).as_micros();
+    Span::from_micros(backoff - backoff / 4 + rng.random_range(0..=backoff / 4))
+}
--- a/crates/core/tests/stream_watch.rs
+++ b/crates/core/tests/stream_watch.rs
@@ -112,6 +112,27 @@
     assert_eq!(watch.next_call(), StoreCall::Watch(at(1, 43)));
 }
 
+/// Guards against a store that is called without a pause because it has no records at the end of its own snapshots.
+#[test]
+fn repeated_expiry_is_followed_by_a_pause() {
+    let mut watch = StreamWatch::default();
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut expire = |watch: &mut StreamWatch| {
+        assert!(watch.accept_snapshot(at(1, 41)));
+        let pause = watch.record_expiry(&mut rng);
+        assert_eq!(watch.next_call(), StoreCall::Newest);
+        pause
+    };
+    assert_eq!(expire(&mut watch), None, "the first one is read at once");
+    let pauses: Vec<Span> = (0..5).filter_map(|_| expire(&mut watch)).collect();
+    assert_eq!(pauses.len(), 5);
+    assert!(pauses.iter().all(|pause| *pause >= Span::from_millis(100)), "{pauses:?}");
+    assert!(pauses[4] >= Span::from_millis(700), "{pauses:?}");
+    assert!(watch.accept_snapshot(at(1, 41)));
+    assert!(watch.advance(at(1, 41), at(1, 41)));
+    assert_eq!(expire(&mut watch), None, "records were read in between");
+}
+
 /// Guards against an era that goes back, and against a first response that counts as a restore.
 #[test]
 fn era_of_the_store_only_grows() {
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -52,6 +52,15 @@
     }
 }
 
+/// Records that a position is gone from the store, and returns the pause before the snapshot is read.
+fn record_expiry(fleet: &mut Fleet, stream: Stream) -> Option<Span> {
+    let Fleet { server_watch, config_watch, rng, .. } = fleet;
+    match stream {
+        Stream::Configuration => config_watch.record_expiry(rng),
+        Stream::Servers => server_watch.record_expiry(rng),
+    }
+}
+
 /// Watches `stream` until the process ends.
 pub async fn watch_stream<S: Store>(shared: Arc<Shared>, store: S, stream: Stream) {
     let name: &'static str = stream.into();
@@ -161,16 +170,14 @@
     let change = error.era().map(|era| shared.observe_era(era, "store", None));
     let is_outdated = matches!(change, Some(EraChange::Outdated { .. }));
     let mut fleet = shared.fleet();
-    if matches!(error, StoreError::Restored { .. }) && !is_outdated {
-        watch_state(&mut fleet, stream).mark_expired();
-        return None;
-    }
-    if let (StoreError::Expired { first, .. }, false) = (error, is_outdated) {
-        watch_state(&mut fleet, stream).mark_expired();
+    if let (StoreError::Restored { .. } | StoreError::Expired { .. }, false) = (error, is_outdated)
+    {
+        let pause = record_expiry(&mut fleet, stream);
         drop(fleet);
-        log::warn!(target: "store", stream:% = stream, first;
-            "the next records were dropped from the store, reading a snapshot");
-        return None;
+        let pause_ms = pause.map_or(0, Span::as_millis);
+        log::warn!(target: "store", stream:% = stream, step:? = call, pause_ms;
+            "the records at the known position are gone, reading a snapshot: {error}");
+        return pause;
     }
     fleet.registry.record_store_outage(now);
     let is_first_failure = !watch_state(&mut fleet, stream).is_failing();
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -27,7 +27,7 @@
     collections::HashMap,
     net::{Ipv4Addr, SocketAddr, TcpListener as StdListener},
     sync::{
-        atomic::{AtomicU32, AtomicU64, AtomicU8, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicU8, Ordering},
         Arc, Mutex,
     },
     time::{Duration, Instant},
@@ -50,6 +50,8 @@
     records: Arc<Mutex<HashMap<&'static str, Vec<Record>>>>,
     changed: Arc<Notify>,
     lost: Arc<AtomicU32>,
+    always_gone: Arc<AtomicBool>,
+    watches: Arc<AtomicU32>,
     saved: Arc<Mutex<HashMap<String, Vec<u8>>>>,
     era: Arc<AtomicU64>,
 }
@@ -85,6 +87,17 @@
         self.lost.store(watches, Ordering::SeqCst);
     }
 
+    /// Makes the store answer every watch with the error that the records at its position are gone.
+    pub(crate) fn lose_history_always(&self) {
+        self.always_gone.store(true, Ordering::SeqCst);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the number of watches so far.
+    pub(crate) fn watch_count(&self) -> u32 {
+        self.watches.load(Ordering::SeqCst)
+    }
+
     /// Restores a copy that has only the first `kept` records of each stream and no saved value, and appends `written`.
     pub(crate) fn restore(&self, kept: usize, written: Vec<(Stream, Record)>) {
         {
@@ -134,6 +147,7 @@
 
     async fn watch(&self, stream: Stream, from: u64, wait: Duration) -> Result<Batch, StoreError> {
         let deadline = tokio::time::Instant::now() + wait;
+        self.watches.fetch_add(1, Ordering::SeqCst);
         let lost = self.lost.clone();
         let is_lost =
             lost.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1));
@@ -142,6 +156,9 @@
         }
         loop {
             let changed = self.changed.notified();
+            if self.always_gone.load(Ordering::SeqCst) {
+                return Err(StoreError::Expired { first: 0, era: self.era.load(Ordering::SeqCst) });
+            }
             let batch = self.read(stream, from)?;
             if !batch.records.is_empty() || tokio::time::Instant::now() >= deadline {
                 return Ok(batch);
--- a/crates/gateway/tests/restored_store.rs
+++ b/crates/gateway/tests/restored_store.rs
@@ -257,3 +257,15 @@
     });
     gateway.wait_until("it has the configuration", || version(&gateway) == Some(5)).await;
 }
+
+/// Guards against calls without a pause to a store that has no records at the end of its own snapshots.
+#[tokio::test]
+async fn store_without_its_newest_records_is_called_with_pauses() {
+    let (one, two) = backends().await;
+    let gateway = gateway(&one, &two).await;
+    gateway.store.lose_history_always();
+    let before = gateway.store.watch_count();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let calls = gateway.store.watch_count() - before;
+    assert!((2..=20).contains(&calls), "{calls} watches of two streams in 2 s");
+}
