--- a/crates/gateway/tests/restored_store.rs
+++ b/crates/gateway/tests/restored_store.rs
@@ -258,6 +258,40 @@
     gateway.wait_until("it has the configuration", || version(&gateway) == Some(5)).await;
 }
 
+/// Guards against a node that keeps what a first restored copy said when a second one follows before it was read.
+#[tokio::test]
+async fn second_restore_before_the_first_was_read_is_followed() {
+    let (one, two) = backends().await;
+    let gateway = gateway(&one, &two).await;
+    gateway.store.restore(3, vec![server(&one, RegistrationState::Draining, 9), config(5)]);
+    let draining = server(&two, RegistrationState::Draining, 2);
+    gateway.store.restore(1, vec![server(&two, RegistrationState::Ready, 1), draining, config(4)]);
+    let is_read = || {
+        let position = gateway.shared.fleet().server_watch.position();
+        position == Some(StreamPosition::new(2, 3))
+    };
+    gateway.wait_until("the second copy is read", is_read).await;
+    gateway.wait_until("the draining is known", || usable(&gateway) == 1).await;
+    gateway.wait_until("a configuration is in force", || version(&gateway) >= Some(4)).await;
+}
+
+/// Guards against a node that starts after a restore and keeps the older configuration of the copy, because the one that its
+/// peers follow is never written again.
+#[tokio::test]
+async fn node_that_starts_after_a_restore_gets_the_lost_configuration_from_its_peer() {
+    let (one, two) = backends().await;
+    let reader = gateway(&one, &two).await;
+    reader.store.restore(2, Vec::new());
+    let _server = peer_rpc::serve(reader.shared.clone()).await.expect("it listens");
+    start_gossip(&reader).await;
+    let second = TestGateway::with_store(reader.store.clone()).await;
+    second.wait_until("it read the copy", || version(&second) == Some(2)).await;
+    second.shared.fleet().peers.add_address(second.shared.now(), reader.shared.settings.peer);
+    start_gossip(&second).await;
+    second.wait_until("it has the lost configuration", || version(&second) == Some(3)).await;
+    assert_eq!(version(&reader), Some(3));
+}
+
 /// Guards against calls without a pause to a store that has no records at the end of its own snapshots.
 #[tokio::test]
 async fn store_without_its_newest_records_is_called_with_pauses() {
@@ -269,3 +303,18 @@
     let calls = gateway.store.watch_count() - before;
     assert!((2..=20).contains(&calls), "{calls} watches of two streams in 2 s");
 }
+
+/// Guards against an old list of failing servers that the copy holds, and that nodes which start later would take.
+#[tokio::test]
+async fn empty_list_of_failing_servers_is_saved_again_after_restore() {
+    let (one, two) = backends().await;
+    let gateway = gateway(&one, &two).await;
+    tokio::spawn(saved_state::run(gateway.shared.clone(), gateway.store.clone()));
+    let peer = gateway.shared.settings.peer.to_string();
+    let is_saved = || gateway.store.saved_contains(&format!("node/{peer}"), &peer);
+    gateway.wait_until("the node is announced", is_saved).await;
+    gateway.store.restore(2, Vec::new());
+    gateway.store.save_raw("suspects", r#"{"at_ms":9,"servers":[["i-1",0.9]]}"#);
+    let is_replaced = || gateway.store.saved_contains("suspects", r#""servers":[]"#);
+    gateway.wait_until("the list is empty", is_replaced).await;
+}
