--- a/crates/gateway/tests/restored_store.rs
+++ b/crates/gateway/tests/restored_store.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{routing_config, Backend, Behaviour, TestGateway};
+use common::{routing_config, Backend, Behaviour, MemoryStore, TestGateway};
+use jsonrpsee::{server::RpcModule, types::ErrorObjectOwned};
 use redwingtrestle_core::process::{
     registration::RegistrationState, stream_position::StreamPosition,
 };
@@ -12,7 +13,8 @@
     store::{Record, Stream},
 };
 use serde::Serialize;
-use std::net::SocketAddr;
+use serde_json::json;
+use std::{net::SocketAddr, time::Duration};
 use tokio::net::UdpSocket;
 
 fn config(version: u64) -> (Stream, Record) {
@@ -159,23 +161,160 @@
     Ready,
 }
 
-/// Guards against nodes that take those of the version before for lost while a fleet is replaced.
-#[tokio::test]
-async fn status_of_the_version_before_is_understood() {
-    let gateway = TestGateway::with_empty_store().await;
-    start_gossip(&gateway).await;
-    let old = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+/// Returns the status of a ready node of version 0.1 that the store responds to, in the gateway's data centre.
+fn old_status(entry: SocketAddr, config_version: u64) -> Vec<u8> {
     let status = OldDatagram::Status {
         start: 7,
-        entry: gateway.entry,
+        entry,
         data_centre: "a".into(),
         state: OldState::Ready,
-        config_version: 0,
+        config_version,
         registry_position: 0,
         store_reachable: true,
     };
-    let bytes = postcard::to_allocvec(&status).expect("an encoded status");
+    postcard::to_allocvec(&status).expect("an encoded status")
+}
+
+/// Guards against nodes that take those of the version before for lost while a fleet is replaced.
+#[tokio::test]
+async fn status_of_the_version_before_is_understood() {
+    let gateway = TestGateway::with_empty_store().await;
+    start_gossip(&gateway).await;
+    let old = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let bytes = old_status(gateway.entry, 0);
     old.send_to(&bytes, gateway.shared.settings.peer).await.expect("sent");
     let is_live = || gateway.shared.fleet().peers.live_count(gateway.shared.now()) == 2;
     gateway.wait_until("the old node is live", is_live).await;
 }
+
+/// Starts two nodes of version 0.1 with lower addresses than the gateway, which send their status every 50 ms.
+async fn start_old_nodes(gateway: &TestGateway) {
+    for _ in 0..2 {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+        let (peer, bytes) = (gateway.shared.settings.peer, old_status(gateway.entry, 0));
+        tokio::spawn(async move {
+            loop {
+                let _ = socket.send_to(&bytes, peer).await;
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        });
+    }
+    let is_live = || gateway.shared.fleet().peers.live_count(gateway.shared.now()) == 3;
+    gateway.wait_until("the old nodes are live", is_live).await;
+}
+
+/// Guards against draining that is never known because a node leaves the store to two nodes of the version before.
+#[tokio::test]
+async fn node_reads_the_store_beside_readers_of_the_version_before() {
+    let (one, two) = backends().await;
+    let gateway = TestGateway::with_empty_store().await;
+    gateway.store.restore(0, Vec::new());
+    start_gossip(&gateway).await;
+    start_old_nodes(&gateway).await;
+    for (stream, record) in [
+        config(1),
+        server(&one, RegistrationState::Ready, 1),
+        server(&two, RegistrationState::Ready, 1),
+    ] {
+        gateway.store.append(stream, record);
+    }
+    gateway.wait_until("the servers are known", || usable(&gateway) == 2).await;
+    // The call that waited while the old nodes appeared has ended, and a later one has to be made.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    gateway.store.register(two.registration(RegistrationState::Draining, 2));
+    gateway.wait_until("the draining is known", || usable(&gateway) == 1).await;
+}
+
+/// Guards against a configuration that a new node cannot get from one of the version before, which refuses a call with an era.
+#[tokio::test]
+async fn configuration_of_a_node_of_the_version_before_is_taken() {
+    let one = Backend::start("i-1", Behaviour::Serve).await;
+    let store = MemoryStore::default();
+    store.restore(0, vec![config(1), server(&one, RegistrationState::Ready, 1)]);
+    let gateway = TestGateway::with_store(store).await;
+    gateway.wait_until("the server is known", || usable(&gateway) == 1).await;
+    start_gossip(&gateway).await;
+    let old = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let mut module = RpcModule::new(());
+    module
+        .register_method("gateway.state", |params, (), _| {
+            let (version, _): (u64, u64) = params.parse()?;
+            let state =
+                json!({"catalog": (version < 5).then(|| routing_config(5)), "servers": null});
+            Ok::<_, ErrorObjectOwned>(state)
+        })
+        .expect("a new method");
+    let server = jsonrpsee::server::Server::builder().set_config(peer_rpc::config(8));
+    let server =
+        server.build(old.local_addr().expect("bound")).await.expect("the TCP port is free");
+    let _server = server.start(module);
+    let (peer, bytes) = (gateway.shared.settings.peer, old_status(gateway.entry, 5));
+    tokio::spawn(async move {
+        loop {
+            let _ = old.send_to(&bytes, peer).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+    gateway.wait_until("it has the configuration", || version(&gateway) == Some(5)).await;
+}
+
+/// Guards against a node that keeps what a first restored copy said when a second one follows before it was read.
+#[tokio::test]
+async fn second_restore_before_the_first_was_read_is_followed() {
+    let (one, two) = backends().await;
+    let gateway = gateway(&one, &two).await;
+    gateway.store.restore(3, vec![server(&one, RegistrationState::Draining, 9), config(5)]);
+    let draining = server(&two, RegistrationState::Draining, 2);
+    gateway.store.restore(1, vec![server(&two, RegistrationState::Ready, 1), draining, config(4)]);
+    let is_read = || {
+        let position = gateway.shared.fleet().server_watch.position();
+        position == Some(StreamPosition::new(2, 3))
+    };
+    gateway.wait_until("the second copy is read", is_read).await;
+    gateway.wait_until("the draining is known", || usable(&gateway) == 1).await;
+    gateway.wait_until("a configuration is in force", || version(&gateway) >= Some(4)).await;
+}
+
+/// Guards against a node that starts after a restore and keeps the older configuration of the copy, because the one that its
+/// peers follow is never written again.
+#[tokio::test]
+async fn node_that_starts_after_a_restore_gets_the_lost_configuration_from_its_peer() {
+    let (one, two) = backends().await;
+    let reader = gateway(&one, &two).await;
+    reader.store.restore(2, Vec::new());
+    let _server = peer_rpc::serve(reader.shared.clone()).await.expect("it listens");
+    start_gossip(&reader).await;
+    let second = TestGateway::with_store(reader.store.clone()).await;
+    second.wait_until("it read the copy", || version(&second) == Some(2)).await;
+    second.shared.fleet().peers.add_address(second.shared.now(), reader.shared.settings.peer);
+    start_gossip(&second).await;
+    second.wait_until("it has the lost configuration", || version(&second) == Some(3)).await;
+    assert_eq!(version(&reader), Some(3));
+}
+
+/// Guards against calls without a pause to a store that has no records at the end of its own snapshots.
+#[tokio::test]
+async fn store_without_its_newest_records_is_called_with_pauses() {
+    let (one, two) = backends().await;
+    let gateway = gateway(&one, &two).await;
+    gateway.store.lose_history_always();
+    let before = gateway.store.watch_count();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let calls = gateway.store.watch_count() - before;
+    assert!((2..=20).contains(&calls), "{calls} watches of two streams in 2 s");
+}
+
+/// Guards against an old list of failing servers that the copy holds, and that nodes which start later would take.
+#[tokio::test]
+async fn empty_list_of_failing_servers_is_saved_again_after_restore() {
+    let (one, two) = backends().await;
+    let gateway = gateway(&one, &two).await;
+    tokio::spawn(saved_state::run(gateway.shared.clone(), gateway.store.clone()));
+    let peer = gateway.shared.settings.peer.to_string();
+    let is_saved = || gateway.store.saved_contains(&format!("node/{peer}"), &peer);
+    gateway.wait_until("the node is announced", is_saved).await;
+    gateway.store.restore(2, Vec::new());
+    gateway.store.save_raw("suspects", r#"{"at_ms":9,"servers":[["i-1",0.9]]}"#);
+    let is_replaced = || gateway.store.saved_contains("suspects", r#""servers":[]"#);
+    gateway.wait_until("the list is empty", is_replaced).await;
+}
