Log a request's rank, target and bound beside the choice of its server

The log of a request names the health estimate, load and lateness of the last server, but neither the target that lateness is measured by nor the bound that more urgent requests set. Whether a request went to a failing server because of its target, its rank or the lack of a better server could not be told apart.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -438,14 +438,17 @@
         metrics::histogram!("redwing_gateway_request_seconds", "service" => service.to_string())
             .record(took.as_secs_f64());
         let servers: Vec<&str> = state.tried.iter().map(ServerId::as_str).collect();
-        // The last fields explain the last choice of a server: its health estimate, the estimate's age, and its load.
+        // The last fields explain the last choice of a server: its health estimate, the estimate's age, its load, and the
+        // bound that more urgent requests set on the response time.
         let choice = state.last_choice.as_ref();
         log::info!(target: "requests", attempt = &*self.outgoing.attempt, route = &*self.route.name, service,
             version = self.config_version, servers = servers.join(","), sends = state.sends, status,
             ms = took.as_millis(), last = state.last_end.as_str(),
             failing = choice.map(|c| (c.failure_probability * 100.0) as u64), age_ms = choice.map(|c| c.age.as_millis()),
             trial = choice.map(|c| c.is_trial), load = choice.map(|c| c.load), late = choice.map(|c| (c.late_probability * 100.0) as u64),
-            among = choice.map(|c| c.candidates); "{result}");
+            among = choice.map(|c| c.candidates), rank = self.route.priority,
+            target_ms = self.route.target.as_millis(), limit_ms = state.max_response_time.map(Span::as_millis);
+            "{result}");
     }
 }
 
