Bound less urgent work where urgent requests begin to look late

Callers saw: while most servers of a service failed, requests of its most urgent routes were served less often than those of less urgent ones.

Cause: less urgent requests might fill a healthy server until its expected response time was the whole target of the urgent rank. The picker calls a response late from 0.6 of the target on, and certainly late at 1.2, which costs as much as a failure. So an urgent request found the healthy servers late and went to a failing one that looked idle.

Change: the bound on less urgent work is the response time from which the urgent request looks late.

Ruled out: trials for the floor (trial was false at these sends), routes not in force (they were sent to a server of their service), at-most-once requests (those that failed were idempotent; 30 of 85 were sent again, the others had no budget left).

less_urgent_requests_leave_room_for_urgent_ones stated the old bound (1.1 s of work at a target of 1.5 s). It now asks that such a server is refused, and that one is used at a target of 2 s.

--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -40,7 +40,7 @@
 const SPREAD_LOAD_FLOOR: f64 = 0.5;
 
 /// Expected response times, as fractions of the target, at which the late probability leaves 0 and reaches 1.
-const LATE_FROM: f64 = 0.6;
+pub(super) const LATE_FROM: f64 = 0.6;
 const LATE_CERTAIN: f64 = 1.2;
 
 /// Quantile of the response times that estimates the response time of a server with free slots.
--- a/crates/core/tests/server_registry.rs
+++ b/crates/core/tests/server_registry.rs
@@ -404,13 +404,15 @@
     };
     registry.record_rank(at(900), &service, 2, Span::from_secs(4));
     assert!(bounded(&registry, 2, 1_000).is_some(), "there are no more urgent requests");
-    // 13 requests at 6 slots take 1.1 s, and 31 take 2.6 s.
-    registry.record_rank(at(900), &service, 0, Span::from_millis(1_500));
+    // 13 requests at 6 slots take 1.1 s, and 31 take 2.6 s. Late begins at 0.6 of the target.
+    registry.record_rank(at(900), &service, 0, Span::from_millis(2_000));
     for _ in 0..50 {
         assert_eq!(bounded(&registry, 2, 1_000), Some(id(1)));
     }
-    registry.record_rank(at(900), &service, 0, Span::from_millis(900));
-    assert_eq!(bounded(&registry, 2, 1_000), None);
+    for target in [1_500, 900] {
+        registry.record_rank(at(900), &service, 0, Span::from_millis(target));
+        assert_eq!(bounded(&registry, 2, 1_000), None);
+    }
     assert!(bounded(&registry, 0, 1_000).is_some(), "the most urgent rank has no bound");
     assert!(bounded(&registry, 2, 4_000).is_some(), "the urgent requests are no longer recent");
 }
