Split a gate into its state, its permits and its interface

The steps on the state behind the lock are methods of that state; the guards of a queued request and of a slot in use have a file.

No behaviour changes; the tests of this package pass.

--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate/mod.rs
@@ -1,34 +1,36 @@
 //! The admission gate of one service: decides which request goes to which backend server, and when.
+//!
+//! * `state`: what the gate's lock protects; `permit`: the guards of a queued request and of a slot in use.
 
+mod permit;
+mod state;
+
+pub use self::permit::Permit;
 pub use redwingtrestle_core::process::evidence::RequestEnd;
 
+use self::{
+    permit::QueuedRequest,
+    state::{rank_shares, State},
+};
 use crate::{clock::Clock, ring::Waker};
 use redwingtrestle_core::{
     codes::ResultCode,
     ids::{RankIndex, ServerAddr, Version},
     process::{
-        admission::{self, Action, Admission, AdmissionOptions, AdmissionTicket},
+        admission::{AdmissionRequest, AdmissionTicket},
         balancer::ServerSlots,
-        evidence::{EvidenceCounts, InFlightRequest, OutcomeRecorder},
+        evidence::EvidenceCounts,
     },
-    request::retry::{RetryBudget, RetryOptions},
-    time::{Span, Timestamp},
+    time::Timestamp,
     version::spec::{Drains, ServiceSpec},
 };
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::BTreeMap,
     sync::{
         atomic::{AtomicBool, Ordering},
         Arc, Mutex, MutexGuard,
     },
 };
-use tokio::sync::oneshot;
-
-/// The gate admits nothing when its slots and ejections are older than this.
-///
-/// The control thread renews them every 40 ms. After a pause of the process, leases and ejections may have
-/// ended in the meantime.
-const MAX_SLOTS_AGE: Span = Span::from_millis(1000);
 
 /// The properties of a request by which it is admitted.
 #[derive(Clone, Copy, Debug)]
@@ -43,28 +45,6 @@
     pub idempotent: bool,
 }
 
-type AdmissionResult = Result<ServerAddr, ResultCode>;
-
-#[derive(Debug)]
-struct State {
-    admission: Admission,
-    recorder: OutcomeRecorder,
-    budget: RetryBudget,
-    version: Version,
-    /// The share of each rank, as configured.
-    shares: Vec<u32>,
-    /// The share of each rank in use: the one that came with the leases, or else the configured one.
-    active_shares: Vec<u32>,
-    usable_servers: Vec<ServerSlots>,
-    /// The result channel and workspace hash of each queued request.
-    waiting: HashMap<AdmissionTicket, (oneshot::Sender<AdmissionResult>, u32)>,
-    in_flight: HashMap<AdmissionTicket, InFlightRequest>,
-    next_ticket: u64,
-    slots_set_at: Timestamp,
-    is_closed: bool,
-    is_carrier: bool,
-}
-
 /// Admits the requests of one service on this node to its backend servers.
 #[derive(Debug)]
 pub struct Gate {
@@ -86,28 +66,8 @@
         seed: u64,
         control: Waker,
     ) -> Self {
-        let shares = rank_shares(service);
-        let options = AdmissionOptions { seed, ..AdmissionOptions::default() };
-        Gate {
-            clock,
-            control,
-            has_unmet_demand: AtomicBool::new(false),
-            state: Mutex::new(State {
-                admission: Admission::new(options, &shares),
-                recorder: OutcomeRecorder::new(),
-                budget: RetryBudget::new(RetryOptions::default()),
-                version,
-                active_shares: shares.clone(),
-                shares,
-                usable_servers: Vec::new(),
-                waiting: HashMap::new(),
-                in_flight: HashMap::new(),
-                next_ticket: 0,
-                slots_set_at: Timestamp::ZERO,
-                is_closed: false,
-                is_carrier: true,
-            }),
-        }
+        let state = Mutex::new(State::new(version, service, seed));
+        Gate { clock, control, has_unmet_demand: AtomicBool::new(false), state }
     }
 
     /// Applies the ranks of a new configuration, and stops using servers that it drains or does not contain.
@@ -150,7 +110,7 @@
     pub fn close(&self) {
         let mut state = self.lock();
         state.is_closed = true;
-        refuse_all(&mut state, ResultCode::NoServer);
+        state.refuse_all(ResultCode::NoServer);
     }
 
     /// Sets whether this node carries the service.
@@ -160,7 +120,7 @@
     pub fn set_carrier(&self, is_carrier: bool) {
         let mut state = self.lock();
         if std::mem::replace(&mut state.is_carrier, is_carrier) && !is_carrier {
-            refuse_all(&mut state, ResultCode::NoCarrier);
+            state.refuse_all(ResultCode::NoCarrier);
         }
     }
 
@@ -190,7 +150,7 @@
             state.admission.set_shares(now, &shares);
             state.active_shares = shares;
         }
-        run_admission(&mut state, now);
+        state.run_admission(now);
     }
 
     /// Waits until the request may be sent, and returns a slot of the server that was picked for it.
@@ -210,16 +170,13 @@
             if !state.is_carrier {
                 return Err(ResultCode::NoCarrier);
             }
-            let ticket = AdmissionTicket(state.next_ticket);
-            state.next_ticket += 1;
-            let queued = QueuedRequest { gate: self.clone(), ticket, is_admitted: false };
-            let receiver = add_waiter(&mut state, ticket, request.workspace as u32);
+            let ticket = state.new_ticket();
+            let queued = QueuedRequest::new(self.clone(), ticket);
+            let receiver = state.add_waiter(ticket, request.workspace as u32);
             let GateRequest { rank, workspace, deadline, idempotent } = request;
-            state.admission.submit(
-                now,
-                admission::AdmissionRequest { ticket, rank, workspace, deadline, idempotent },
-            );
-            run_admission(&mut state, now);
+            let request = AdmissionRequest { ticket, rank, workspace, deadline, idempotent };
+            state.admission.submit(now, request);
+            state.run_admission(now);
             if state.admission.has_queue() {
                 self.request_report();
             }
@@ -252,7 +209,7 @@
 
     /// Refuses queued requests that can no longer be completed in time, and admits those that now have a slot.
     pub fn poll(&self, now: Timestamp) {
-        run_admission(&mut self.lock(), now);
+        self.lock().run_admission(now);
     }
 
     /// Counts overdue requests in flight as bad, and returns the evidence since the last call.
@@ -298,176 +255,14 @@
 
     fn finish_send(&self, state: &mut State, ticket: AdmissionTicket, end: RequestEnd) {
         let now = self.clock.now();
-        if let Some(request) = state.in_flight.remove(&ticket) {
-            state.recorder.finish(now, &request, end);
-        }
+        state.record_end(now, ticket, end);
         if state.admission.release(now, ticket) {
             self.request_report();
         }
-        run_admission(state, now);
+        state.run_admission(now);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
-
-fn rank_shares(service: &ServiceSpec) -> Vec<u32> {
-    service.ranks.iter().map(|r| r.share).collect()
-}
-
-fn refuse_all(state: &mut State, code: ResultCode) {
-    for (ticket, (sender, _)) in std::mem::take(&mut state.waiting) {
-        state.admission.cancel(ticket);
-        let _ = sender.send(Err(code));
-    }
-}
-
-fn add_waiter(
-    state: &mut State,
-    ticket: AdmissionTicket,
-    workspace: u32,
-) -> oneshot::Receiver<AdmissionResult> {
-    let (sender, receiver) = oneshot::channel();
-    state.waiting.insert(ticket, (sender, workspace));
-    receiver
-}
-
-/// Carries out the decisions of the admission queue, unless the slots are too old to decide by.
-fn run_admission(state: &mut State, now: Timestamp) {
-    if now.since(state.slots_set_at) > MAX_SLOTS_AGE {
-        return;
-    }
-    loop {
-        let mut has_abandoned = false;
-        for action in state.admission.poll(now) {
-            match action {
-                Action::Dispatch { ticket, server } => {
-                    has_abandoned |= !deliver(state, now, ticket, server);
-                }
-                Action::Refuse { ticket, code } => {
-                    if let Some((sender, _)) = state.waiting.remove(&ticket) {
-                        let _ = sender.send(Err(code));
-                    }
-                }
-            }
-        }
-        // The slot of a request whose caller is gone is free again, so another request may get it.
-        if !has_abandoned {
-            return;
-        }
-    }
-}
-
-/// Passes the picked server to a waiting request; returns `false` if the request has been given up.
-fn deliver(state: &mut State, now: Timestamp, ticket: AdmissionTicket, server: ServerAddr) -> bool {
-    let Some((sender, workspace)) = state.waiting.remove(&ticket) else {
-        state.admission.release(now, ticket);
-        return false;
-    };
-    state.in_flight.insert(ticket, state.recorder.start(now, server, workspace));
-    if sender.send(Ok(server)).is_ok() {
-        return true;
-    }
-    state.in_flight.remove(&ticket);
-    state.admission.release(now, ticket);
-    false
-}
-
-/// A request in the queue. Dropping it before its admission removes the request from the queue.
-#[derive(Debug)]
-struct QueuedRequest {
-    gate: Arc<Gate>,
-    ticket: AdmissionTicket,
-    is_admitted: bool,
-}
-
-impl QueuedRequest {
-    async fn wait(
-        mut self,
-        receiver: oneshot::Receiver<AdmissionResult>,
-    ) -> Result<Permit, ResultCode> {
-        // The sender is dropped without a result only with its gate, and then there is no server to send to.
-        let server = receiver.await.unwrap_or(Err(ResultCode::NoServer))?;
-        self.is_admitted = true;
-        Ok(Permit { server, gate: self.gate.clone(), ticket: self.ticket, is_finished: false })
-    }
-}
-
-impl Drop for QueuedRequest {
-    fn drop(&mut self) {
-        if self.is_admitted {
-            return;
-        }
-        let mut state = self.gate.lock();
-        if state.waiting.remove(&self.ticket).is_some() {
-            state.admission.cancel(self.ticket);
-        } else if state.in_flight.contains_key(&self.ticket) {
-            // The request was admitted, but its caller left before the result was received.
-            self.gate.finish_send(&mut state, self.ticket, RequestEnd::Cancelled);
-        }
-    }
-}
-
-/// Occupies a slot of a backend server for one request until it is dropped.
-#[derive(Debug)]
-pub struct Permit {
-    /// The server that was picked.
-    pub server: ServerAddr,
-    gate: Arc<Gate>,
-    ticket: AdmissionTicket,
-    is_finished: bool,
-}
-
-impl Permit {
-    /// Releases the slot and records how the send ended as evidence about the server.
-    ///
-    /// Dropping the permit instead records a cancelled request, which is no evidence.
-    pub fn finish(mut self, _now: Timestamp, end: RequestEnd) {
-        self.finish_once(end);
-    }
-
-    /// Ends the send as [`finish`](Self::finish) does, and waits for a slot for the next send.
-    ///
-    /// The request keeps its original position in the queue, and another server is preferred if one is free.
-    pub async fn requeue(
-        mut self,
-        now: Timestamp,
-        request: GateRequest,
-        end: RequestEnd,
-    ) -> Result<Permit, ResultCode> {
-        self.is_finished = true;
-        let (gate, ticket) = (self.gate.clone(), self.ticket);
-        let receiver = {
-            let mut state = gate.lock();
-            if let Some(request) = state.in_flight.remove(&ticket) {
-                state.recorder.finish(now, &request, end);
-            }
-            if state.is_closed || !state.is_carrier {
-                state.admission.release(now, ticket);
-                let code =
-                    if state.is_closed { ResultCode::NoServer } else { ResultCode::NoCarrier };
-                return Err(code);
-            }
-            let receiver = add_waiter(&mut state, ticket, request.workspace as u32);
-            state.admission.requeue(now, ticket);
-            run_admission(&mut state, now);
-            receiver
-        };
-        QueuedRequest { gate, ticket, is_admitted: false }.wait(receiver).await
-    }
-
-    fn finish_once(&mut self, end: RequestEnd) {
-        if std::mem::replace(&mut self.is_finished, true) {
-            return;
-        }
-        let mut state = self.gate.lock();
-        self.gate.finish_send(&mut state, self.ticket, end);
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.finish_once(RequestEnd::Cancelled);
-    }
-}
