--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip/mod.rs
@@ -1,12 +1,15 @@
 //! Gossip between nodes by UDP datagrams: the state of each node, and its observations of backend servers.
 
+mod catch_up;
+mod relay_queue;
+
+use self::{catch_up::CatchUp, relay_queue::RelayQueue};
 use crate::{
     clock::duration,
     datagram::{
         self, Datagram, OutcomesDoc, ReportDoc, RowDoc, StatusTail, MAX_DATAGRAM, MAX_OUTCOMES,
-        MAX_REPORT_HEAD, MAX_ROWS,
+        MAX_ROWS,
     },
-    peer_rpc,
     shared::{Fleet, Shared},
 };
 use redwingtrestle_core::{
@@ -17,19 +20,9 @@
     },
     time::{Span, Timestamp},
 };
-use std::{
-    net::SocketAddr,
-    sync::{
-        atomic::{AtomicBool, Ordering},
-        Arc,
-    },
-};
+use std::{net::SocketAddr, sync::Arc};
 use tokio::net::UdpSocket;
 
-/// The largest number of reports of other data centres that wait to be relayed. Further ones are dropped, as the next
-/// report of the same node replaces most of what they say.
-const MAX_QUEUED_RELAYS: usize = 256;
-
 /// How often the gossip task checks which messages are due.
 const TICK_INTERVAL: Span = Span::from_millis(100);
 
@@ -39,18 +32,6 @@
 /// How long an urgent report waits for further failures to include.
 const URGENT_REPORT_DELAY: Span = Span::from_millis(3);
 
-/// The shortest time between two restarts of this node's own watch. A large response needs some time to arrive.
-const MIN_RESTART_INTERVAL: Span = Span::from_millis(2_000);
-
-/// A node that stays behind others for this long watches the store itself.
-const MAX_TIME_BEHIND: Span = Span::from_millis(600);
-
-/// How long a node that was behind watches the store itself.
-const DIRECT_WATCH_TIME: Span = Span::from_secs(10);
-
-/// How long a node that watches the store and is behind a peer waits for the store before it asks the peer.
-const STORE_GRACE: Span = Span::from_millis(300);
-
 /// After a suspension of the machine for longer than this, all state is read again.
 const MAX_SUSPENSION: Span = Span::from_millis(500);
 
@@ -61,26 +42,19 @@
     socket: UdpSocket,
     last_report: Timestamp,
     last_relayed: Timestamp,
-    behind_since: Option<Timestamp>,
-    last_restart: Timestamp,
-    is_fetching: Arc<AtomicBool>,
     suspended: Span,
     live_nodes: usize,
-    /// Periodic reports of other data centres that wait to be relayed together.
-    relay_queue: Vec<ReportDoc>,
+    catch_up: CatchUp,
+    relay_queue: RelayQueue,
 }
 
 impl Gossip {
     /// Creates the task on a bound socket, and adds the seeds of the settings as peers.
     pub fn new(shared: Arc<Shared>, socket: UdpSocket) -> Self {
         let now = shared.now();
-        {
-            let mut fleet = shared.fleet();
-            for seed in &shared.settings.seeds {
-                fleet
-                    .peers
-                    .add_address(now, SocketAddr::new(seed.ip(), shared.settings.peer.port()));
-            }
+        for seed in &shared.settings.seeds {
+            let addr = SocketAddr::new(seed.ip(), shared.settings.peer.port());
+            shared.fleet().peers.add_address(now, addr);
         }
         let suspended = shared.clock.suspended();
         Gossip {
@@ -88,12 +62,10 @@
             socket,
             last_report: now,
             last_relayed: now,
-            behind_since: None,
-            last_restart: Timestamp::ZERO,
-            is_fetching: Arc::default(),
             suspended,
             live_nodes: 0,
-            relay_queue: Vec::new(),
+            catch_up: CatchUp::default(),
+            relay_queue: RelayQueue::default(),
         }
     }
 
@@ -156,13 +128,7 @@
                     registry_position: StreamPosition::new(tail.era, registry_position),
                     store_reachable,
                 };
-                let is_new = self.shared.fleet().peers.record_status(now, from, status);
-                if is_new {
-                    log::info!(target: "peers", peer:% = from, start, version = config_version;
-                        "received the first datagram of a node that was unknown, silent or restarted");
-                    self.send_status_and_nodes(from).await;
-                }
-                self.fetch_newer_state(now);
+                self.record_status(now, from, status).await;
             }
             Datagram::Nodes(addrs) => {
                 let mut fleet = self.shared.fleet();
@@ -185,6 +151,17 @@
         }
     }
 
+    async fn record_status(&mut self, now: Timestamp, from: SocketAddr, status: NodeStatus) {
+        let (start, version) = (status.start, status.config_version);
+        let is_new = self.shared.fleet().peers.record_status(now, from, status);
+        if is_new {
+            log::info!(target: "peers", peer:% = from, start, version;
+                "received the first datagram of a node that was unknown, silent or restarted");
+            self.send_status_and_nodes(from).await;
+        }
+        self.catch_up.fetch_newer_state(now, &self.shared);
+    }
+
     fn apply_report(&self, now: Timestamp, report: &ReportDoc) {
         let mut fleet = self.shared.fleet();
         for row in &report.rows {
@@ -198,12 +175,7 @@
     /// Relays a report of another data centre: failures at once, all else together each [`REPORT_INTERVAL`].
     async fn relay(&mut self, now: Timestamp, report: ReportDoc) {
         if !report.has_failure() {
-            if self.relay_queue.len() < MAX_QUEUED_RELAYS {
-                self.relay_queue.push(report);
-            } else {
-                metrics::counter!("redwing_dropped_messages_total", "reason" => "relay_queue")
-                    .increment(1);
-            }
+            self.relay_queue.push(report);
             return;
         }
         let (near, _) = self.report_targets(now, true);
@@ -290,7 +262,7 @@
             self.send_relayed().await;
         }
         self.shared.pool.close_expired(now);
-        self.fetch_newer_state(now);
+        self.catch_up.fetch_newer_state(now, &self.shared);
     }
 
     /// Reads all state again after the machine was suspended, as the known state may be out of date.
@@ -306,45 +278,6 @@
         self.suspended = suspended;
     }
 
-    /// Gets newer state from a peer that is ahead of this node.
-    fn fetch_newer_state(&mut self, now: Timestamp) {
-        let version = self.shared.routing_config.load().as_ref().map_or(0, |c| c.version());
-        let peer = {
-            let mut fleet = self.shared.fleet();
-            let Fleet { peers, rng, server_watch, .. } = &mut *fleet;
-            peers.newer_peer(now, version, server_watch.position().unwrap_or_default(), rng)
-        };
-        let Some(peer) = peer else {
-            self.behind_since = None;
-            return;
-        };
-        let since = *self.behind_since.get_or_insert(now);
-        if now.since(since) >= MAX_TIME_BEHIND {
-            log::info!(target: "peers", peer:% = peer, version;
-                "this node stays behind its peers and watches the store itself for a while");
-            self.shared.watch_directly(DIRECT_WATCH_TIME);
-            self.behind_since = Some(now);
-        }
-        let is_reader = version > 0 && self.shared.is_reader();
-        if is_reader && now.since(since) < STORE_GRACE {
-            return;
-        }
-        if is_reader && now.since(self.last_restart) >= MIN_RESTART_INTERVAL {
-            // The peer is ahead, so the response to this node's own watch was lost.
-            self.last_restart = now;
-            self.shared.restart_calls.notify_waiters();
-        }
-        // One call at a time: a second one would only slow down the response to the first.
-        if self.is_fetching.swap(true, Ordering::SeqCst) {
-            return;
-        }
-        let (shared, is_fetching) = (self.shared.clone(), self.is_fetching.clone());
-        tokio::spawn(async move {
-            peer_rpc::fetch(shared, peer).await;
-            is_fetching.store(false, Ordering::SeqCst);
-        });
-    }
-
     /// Sends the observations since the last report. One with a failure goes to more nodes.
     async fn send_report(&mut self, has_failure: bool) {
         let now = self.shared.now();
@@ -383,17 +316,9 @@
         let now = self.shared.now();
         self.last_relayed = now;
         let (near, _) = self.report_targets(now, false);
-        let mut batch = Vec::new();
-        let mut size = MAX_REPORT_HEAD;
-        for report in std::mem::take(&mut self.relay_queue) {
-            if size + report.max_size() > MAX_DATAGRAM && !batch.is_empty() {
-                self.send(&Datagram::Relayed(std::mem::take(&mut batch)), &near).await;
-                size = MAX_REPORT_HEAD;
-            }
-            size += report.max_size();
-            batch.push(report);
+        for batch in self.relay_queue.take_batches() {
+            self.send(&Datagram::Relayed(batch), &near).await;
         }
-        self.send(&Datagram::Relayed(batch), &near).await;
     }
 
     /// Sends this node's status to nodes of its own data centre, after new records from the store.
