--- a/crates/ctl/src/load/caller.rs
+++ b/crates/ctl/src/load/caller.rs
@@ -1,162 +1,22 @@
-//! A simulated caller: caches the response to `GET /v1/entries`, and sends and resends requests.
+//! A simulated caller's request: which entry it is sent to, and whether it is sent again.
 
 use super::{
-    plan::{LoadPlan, LoadStream},
+    entries::Caller,
+    plan::LoadPlan,
+    resend_budget::ResendBudget,
     run::RequestRecord,
+    send::{send_once, ResendAdvice, SendResult, SingleSend},
 };
-use rand::{seq::SliceRandom, Rng, SeedableRng};
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use redwingtrestle_core::codes::{Outcome, ResultCode};
-use redwingtrestle_wire::caller::{self, EntriesReply, RefusalBody};
-use reqwest::{Client, Method, Response};
+use reqwest::Client;
 use std::{
     net::SocketAddr,
-    sync::{
-        atomic::{AtomicI64, Ordering},
-        Arc, Mutex, PoisonError,
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
-/// Timeout of `GET /v1/entries`.
-const ENTRIES_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Minimum time for which a response to `GET /v1/entries` is cached. Without it, a ttl of 0 would double the number
-/// of requests.
-const MIN_TTL: Duration = Duration::from_millis(100);
-
-/// Once this many bytes of a response body have been kept, the rest is read and discarded.
-const MAX_RESPONSE: usize = 64 * 1024 * 1024;
-
-/// Initial budget for resends after overload refusals, in hundredths of a resend.
-const INITIAL_BUDGET: i64 = 1_000;
-
-/// A cached response to `GET /v1/entries`, with the entry that sent it.
-#[derive(Clone, Debug)]
-struct CachedEntries {
-    entries: Vec<SocketAddr>,
-    prefix: String,
-    source: SocketAddr,
-    expires: Instant,
-}
-
-/// A caller, which caches a response to `GET /v1/entries` for its ttl.
-pub(super) struct Caller {
-    initial_entries: Vec<SocketAddr>,
-    cached: Mutex<Option<CachedEntries>>,
-    refresh: tokio::sync::Mutex<()>,
-}
-
-impl Caller {
-    pub(super) fn new(initial_entries: Vec<SocketAddr>) -> Self {
-        Caller { initial_entries, cached: Mutex::new(None), refresh: tokio::sync::Mutex::new(()) }
-    }
-
-    fn cached_entries(&self) -> Option<CachedEntries> {
-        self.cached.lock().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
-    /// Returns the cached response, and refreshes it first if it has expired or has no entries left.
-    ///
-    /// If no entry responds, returns the expired response. Only one request at a time refreshes it. Meanwhile other
-    /// requests use the expired response if there is one.
-    async fn current_entries(&self, http: &Client, rng: &mut ChaCha8Rng) -> Option<CachedEntries> {
-        let now = Instant::now();
-        let old = self.cached_entries();
-        if old.as_ref().is_some_and(|c| c.expires > now && !c.entries.is_empty()) {
-            return old;
-        }
-        let _guard = match (self.refresh.try_lock(), &old) {
-            (Ok(guard), _) => guard,
-            (Err(_), Some(c)) if !c.entries.is_empty() => return old,
-            (Err(_), _) => self.refresh.lock().await,
-        };
-        let fresh = self.cached_entries();
-        if fresh.as_ref().is_some_and(|c| c.expires > now && !c.entries.is_empty()) {
-            return fresh;
-        }
-        let mut candidates: Vec<SocketAddr> = old.iter().flat_map(|c| c.entries.clone()).collect();
-        candidates.extend(&self.initial_entries);
-        candidates.sort();
-        candidates.dedup();
-        candidates.shuffle(rng);
-        for entry in candidates.into_iter().take(4) {
-            let Some(response) = fetch_entries(http, entry).await else { continue };
-            let ttl = Duration::from_millis(response.ttl_ms).max(MIN_TTL);
-            let cached = CachedEntries {
-                entries: response.entries,
-                prefix: response.key_prefix,
-                source: entry,
-                expires: Instant::now() + ttl,
-            };
-            if !cached.entries.is_empty() {
-                *self.cached.lock().unwrap_or_else(PoisonError::into_inner) = Some(cached.clone());
-                return Some(cached);
-            }
-        }
-        old
-    }
-
-    /// Removes `entry` from the cached response, so that it is not used until the next refresh.
-    fn remove_entry(&self, entry: SocketAddr) {
-        let mut cached = self.cached.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(cached) = cached.as_mut() {
-            cached.entries.retain(|e| *e != entry);
-        }
-    }
-
-    /// Replaces the cached key prefix with one from a refusal by `source`.
-    fn set_prefix(&self, prefix: &str, source: SocketAddr) {
-        let mut cached = self.cached.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(cached) = cached.as_mut() {
-            cached.prefix = prefix.into();
-            cached.source = source;
-        }
-    }
-}
-
-async fn fetch_entries(http: &Client, entry: SocketAddr) -> Option<EntriesReply> {
-    let request = http.get(format!("http://{entry}/v1/entries")).timeout(ENTRIES_TIMEOUT);
-    let response = request.send().await.ok()?;
-    if !response.status().is_success() {
-        return None;
-    }
-    let body = read(response).await.ok()?;
-    serde_json::from_slice(&body).ok()
-}
-
-/// Reads a response to its end. A truncated body is an error.
-async fn read(mut response: Response) -> Result<Vec<u8>, reqwest::Error> {
-    let mut body = Vec::new();
-    while let Some(chunk) = response.chunk().await? {
-        if body.len() < MAX_RESPONSE {
-            body.extend_from_slice(&chunk);
-        }
-    }
-    Ok(body)
-}
-
-/// A budget that limits resends after refusals that signal overload, in hundredths of a resend.
-pub(super) struct ResendBudget {
-    balance: AtomicI64,
-    share: i64,
-}
-
-impl ResendBudget {
-    pub(super) fn new(share: f64) -> Self {
-        ResendBudget { balance: AtomicI64::new(INITIAL_BUDGET), share: (share * 100.0) as i64 }
-    }
-
-    fn deposit(&self) {
-        self.balance.fetch_add(self.share, Ordering::Relaxed);
-    }
-
-    fn try_withdraw(&self) -> bool {
-        let withdraw = |balance: i64| (balance >= 100).then_some(balance - 100);
-        self.balance.fetch_update(Ordering::Relaxed, Ordering::Relaxed, withdraw).is_ok()
-    }
-}
-
 /// State shared by all requests of a run.
 pub(super) struct Shared {
     pub(super) plan: LoadPlan,
@@ -178,31 +38,6 @@
     pub(super) seed: u64,
 }
 
-/// The information in a refusal about sending the request again.
-#[derive(Debug, Default)]
-struct ResendAdvice {
-    key_prefix: Option<String>,
-    retry_after_ms: Option<u64>,
-}
-
-/// The result of a single send.
-enum SendResult {
-    /// A complete response was received.
-    Response {
-        status: u16,
-        outcome: Outcome,
-        code: Option<u16>,
-        advice: ResendAdvice,
-        id_matches: bool,
-    },
-    /// No connection was made.
-    Unsent,
-    /// The connection broke, or the response was truncated.
-    Broken,
-    /// The deadline passed.
-    TimedOut,
-}
-
 /// The caller's decision after a send.
 enum NextStep {
     Stop,
@@ -219,21 +54,7 @@
     let caller = &shared.callers[arrival.caller];
     let mut rng = ChaCha8Rng::seed_from_u64(arrival.seed);
     let deadline = arrival.intended + Duration::from_millis(stream.deadline_ms);
-    let mut record = RequestRecord {
-        stream: arrival.stream,
-        number: arrival.number,
-        key: None,
-        sends: 0,
-        outcome: Outcome::NotRun,
-        status: None,
-        code: None,
-        timed_out: false,
-        broken: false,
-        mismatched: false,
-        intended_us: micros(arrival.intended.saturating_duration_since(shared.start)),
-        lag_us: micros(started.saturating_duration_since(arrival.intended)),
-        latency_us: 0,
-    };
+    let mut record = new_record(&arrival, shared.start, started);
     shared.budget.deposit();
     let request_id = format!("{:016x}-{}", shared.run_id, arrival.number);
     let (mut attempt, mut replaced_keys, mut tried) = (1_u32, 0_u32, Vec::new());
@@ -264,9 +85,16 @@
             break;
         }
         record.sends += 1;
-        let key = record.key.as_deref();
-        let sent =
-            send_once(&shared, stream, &arrival, entry, key, attempt, deadline, &request_id).await;
+        let send = SingleSend {
+            stream,
+            workspace: arrival.workspace,
+            entry,
+            key: record.key.as_deref(),
+            attempt,
+            deadline,
+            request_id: &request_id,
+        };
+        let sent = send_once(&shared.http, send).await;
         (record.timed_out, record.broken) = (false, false);
         (record.status, record.code) = (None, None);
         let mut pause = Duration::ZERO;
@@ -328,6 +156,25 @@
     record
 }
 
+/// Returns the record of a request that was not sent yet.
+fn new_record(arrival: &Arrival, start: Instant, started: Instant) -> RequestRecord {
+    RequestRecord {
+        stream: arrival.stream,
+        number: arrival.number,
+        key: None,
+        sends: 0,
+        outcome: Outcome::NotRun,
+        status: None,
+        code: None,
+        timed_out: false,
+        broken: false,
+        mismatched: false,
+        intended_us: micros(arrival.intended.saturating_duration_since(start)),
+        lag_us: micros(started.saturating_duration_since(arrival.intended)),
+        latency_us: 0,
+    }
+}
+
 /// Decides how the caller continues after a response.
 fn step_after_response(
     shared: &Shared,
@@ -388,75 +235,6 @@
     (!candidates.is_empty()).then(|| candidates[rng.random_range(0..candidates.len())])
 }
 
-#[expect(clippy::too_many_arguments, reason = "each is one part of the request")]
-async fn send_once(
-    shared: &Shared,
-    stream: &LoadStream,
-    arrival: &Arrival,
-    entry: SocketAddr,
-    key: Option<&str>,
-    attempt: u32,
-    deadline: Instant,
-    request_id: &str,
-) -> SendResult {
-    let left = deadline.saturating_duration_since(Instant::now());
-    // `LoadPlan::check` rejects methods that cannot be parsed.
-    let method: Method = stream.method.parse().unwrap_or(Method::GET);
-    let mut request = shared
-        .http
-        .request(method, format!("http://{entry}{}", stream.path))
-        .timeout(left)
-        .header(caller::REQUEST_ID, request_id)
-        .header(caller::ATTEMPT, attempt)
-        .header(caller::DEADLINE, left.as_millis().max(1) as u64);
-    if let Some(key) = key {
-        request = request.header(caller::IDEMPOTENCY_KEY, key);
-    }
-    if stream.workspaces > 0 {
-        request = request.header(caller::WORKSPACE, format!("w{}", arrival.workspace));
-    }
-    if stream.body_bytes > 0 {
-        request = request.body(vec![b'x'; stream.body_bytes]);
-    }
-    let response = match request.send().await {
-        Ok(response) => response,
-        Err(error) => return send_error(&error),
-    };
-    let header = |name: &str| response.headers().get(name)?.to_str().ok().map(String::from);
-    let status = response.status().as_u16();
-    let outcome = header(caller::OUTCOME).and_then(|o| o.parse().ok());
-    let code = header(caller::RESULT_CODE).and_then(|c| c.parse().ok());
-    let id_matches = header(caller::REQUEST_ID).is_none_or(|id| id == request_id);
-    let prefix = header(caller::KEY_PREFIX);
-    let body = match read(response).await {
-        Ok(body) => body,
-        Err(error) => return send_error(&error),
-    };
-    let refusal: Option<RefusalBody> = code.and_then(|_: u16| serde_json::from_slice(&body).ok());
-    let advice = match refusal {
-        Some(refusal) => ResendAdvice {
-            key_prefix: prefix.or(refusal.key_prefix),
-            retry_after_ms: refusal.retry_after_ms,
-        },
-        None => ResendAdvice { key_prefix: prefix, retry_after_ms: None },
-    };
-    SendResult::Response {
-        status,
-        outcome: outcome.unwrap_or(Outcome::Ran),
-        code,
-        advice,
-        id_matches,
-    }
-}
-
-fn send_error(error: &reqwest::Error) -> SendResult {
-    match error {
-        e if e.is_connect() => SendResult::Unsent,
-        e if e.is_timeout() => SendResult::TimedOut,
-        _ => SendResult::Broken,
-    }
-}
-
 fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/ctl/src/load/mod.rs
+++ b/crates/ctl/src/load/mod.rs
@@ -4,9 +4,12 @@
 //! send time. The latencies therefore show a stall of the fleet in full (no coordinated omission).
 
 mod caller;
+mod entries;
 mod plan;
 mod report;
+mod resend_budget;
 mod run;
+mod send;
 
 pub use plan::{LoadPlan, LoadStream};
 pub use report::{LatencyReport, LoadReport, Second, StreamReport};
--- a/crates/ctl/src/load/run.rs
+++ b/crates/ctl/src/load/run.rs
@@ -1,9 +1,11 @@
 //! Generates the arrivals of a load run and collects its results.
 
 use super::{
-    caller::{run_request, Arrival, Caller, ResendBudget, Shared},
+    caller::{run_request, Arrival, Shared},
+    entries::Caller,
     plan::LoadPlan,
     report::{LoadReport, RunTotals},
+    resend_budget::ResendBudget,
 };
 use crate::error::{Error, Result};
 use rand::{distr::weighted::WeightedIndex, prelude::Distribution, Rng, SeedableRng};
