--- a/crates/core/tests/leaving_server.rs
+++ b/crates/core/tests/leaving_server.rs
@@ -1,14 +1,17 @@
 //! Servers that say in a response that they leave, on virtual time.
 
+mod common {
+    pub(crate) mod servers;
+}
+
+use common::servers::{at, id, offset, registration};
 use redwingtrestle_core::{
     cases,
     process::{
-        registration::{Registration, RegistrationState, ServerId},
+        registration::{Registration, RegistrationState},
         server_registry::{RegistryOptions, ServerRegistry},
         start_marks::ServerStart,
-        stream_position::StreamPosition,
     },
-    time::{Span, Timestamp},
 };
 
 const READY: RegistrationState = RegistrationState::Ready;
@@ -17,32 +20,6 @@
 /// The shortest time after a server's word within which no request may reach it any more.
 const DRAIN_MS: u64 = 2_000;
 
-fn at(millis: u64) -> Timestamp {
-    Timestamp::ZERO + Span::from_secs(3_600) + Span::from_millis(millis)
-}
-
-fn offset(offset: u64) -> StreamPosition {
-    StreamPosition::new(0, offset)
-}
-
-fn id(number: u8) -> ServerId {
-    ServerId(format!("i-{number}").into())
-}
-
-fn registration(number: u8, state: RegistrationState, started: u64, report: u64) -> Registration {
-    Registration {
-        id: id(number),
-        addr: ([10, 0, 0, number], 80).into(),
-        service: "orders".into(),
-        zone: "a".into(),
-        slots: 6,
-        state,
-        warmup: Span::ZERO,
-        started,
-        report,
-    }
-}
-
 /// Returns a registry of servers of which server 0 said at time 0 that it leaves.
 fn registry(count: u8) -> ServerRegistry {
     let mut registry = ServerRegistry::new(RegistryOptions::default());
--- a/crates/core/tests/restored_store.rs
+++ b/crates/core/tests/restored_store.rs
@@ -1,5 +1,10 @@
 //! The registry of backend servers when the store comes back from an older copy.
 
+mod common {
+    pub(crate) mod servers;
+}
+
+use common::servers::{self, at, id, offset as before};
 use redwingtrestle_core::{
     cases,
     process::{
@@ -7,41 +12,19 @@
         server_registry::{Change, RegistryOptions, ServerRegistry},
         stream_position::StreamPosition,
     },
-    time::{Span, Timestamp},
+    time::Timestamp,
 };
 use std::collections::HashMap;
 
 const READY: RegistrationState = RegistrationState::Ready;
 const DRAINING: RegistrationState = RegistrationState::Draining;
 
-fn at(millis: u64) -> Timestamp {
-    Timestamp::ZERO + Span::from_secs(3_600) + Span::from_millis(millis)
-}
-
-fn before(offset: u64) -> StreamPosition {
-    StreamPosition::new(0, offset)
-}
-
 fn after(offset: u64) -> StreamPosition {
     StreamPosition::new(1, offset)
 }
 
-fn id(number: u8) -> ServerId {
-    ServerId(format!("i-{number}").into())
-}
-
 fn registration(number: u8, (state, started, report): Report) -> Registration {
-    Registration {
-        id: id(number),
-        addr: ([10, 0, 0, number], 80).into(),
-        service: "orders".into(),
-        zone: "a".into(),
-        slots: 6,
-        state,
-        warmup: Span::ZERO,
-        started,
-        report,
-    }
+    servers::registration(number, state, started, report)
 }
 
 /// State, start and number of a report.
--- a/crates/core/tests/server_pause.rs
+++ b/crates/core/tests/server_pause.rs
@@ -1,39 +1,25 @@
 //! Servers that ask for a pause, on virtual time.
 
+mod common {
+    pub(crate) mod servers;
+}
+
+use common::servers::{self, at, offset};
 use rand::{rngs::StdRng, SeedableRng};
 use redwingtrestle_core::{
     cases,
     process::{
         picker::{pick, PickRequest, PickerOptions},
-        registration::{Registration, RegistrationState, ServerId},
+        registration::{Registration, RegistrationState},
         server_pause::{parse_pause, retry_after, MAX_PAUSE},
         server_registry::{RegistryOptions, ServerRegistry},
         start_marks::ServerStart,
-        stream_position::StreamPosition,
     },
-    time::{Span, Timestamp},
+    time::Span,
 };
 
-fn at(millis: u64) -> Timestamp {
-    Timestamp::ZERO + Span::from_secs(3_600) + Span::from_millis(millis)
-}
-
-fn offset(offset: u64) -> StreamPosition {
-    StreamPosition::new(0, offset)
-}
-
 fn registration(number: u8, started: u64) -> Registration {
-    Registration {
-        id: ServerId(format!("i-{number}").into()),
-        addr: ([10, 0, 0, number], 80).into(),
-        service: "orders".into(),
-        zone: "a".into(),
-        slots: 6,
-        state: RegistrationState::Ready,
-        warmup: Span::ZERO,
-        started,
-        report: 1,
-    }
+    servers::registration(number, RegistrationState::Ready, started, 1)
 }
 
 /// Returns a registry whose servers asked at time 0 for these pauses in milliseconds, where 0 is none.
--- a/crates/core/tests/server_registry.rs
+++ b/crates/core/tests/server_registry.rs
@@ -1,5 +1,10 @@
 //! The registry of backend servers: their records, their estimated health and the choice among them.
 
+mod common {
+    pub(crate) mod servers;
+}
+
+use common::servers::{self, at, id, offset};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use rand::{rngs::StdRng, SeedableRng};
 use redwingtrestle_core::{
@@ -10,37 +15,15 @@
         picker::{pick, PickRequest, PickerOptions},
         registration::{Registration, RegistrationState, ServerId},
         server_registry::{Change, RegistryOptions, ServerRegistry},
-        stream_position::StreamPosition,
         tracked_server::{Counts, ServerReport},
     },
     time::{Span, Timestamp},
 };
 use std::collections::HashMap;
 
-fn at(millis: u64) -> Timestamp {
-    Timestamp::ZERO + Span::from_secs(3_600) + Span::from_millis(millis)
-}
-
-fn offset(offset: u64) -> StreamPosition {
-    StreamPosition::new(0, offset)
-}
-
-fn id(number: u8) -> ServerId {
-    ServerId(format!("i-{number}").into())
-}
-
 fn registration(number: u8, state: RegistrationState, started: u64, report: u64) -> Registration {
-    Registration {
-        id: id(number),
-        addr: ([10, 0, 0, number], 80).into(),
-        service: "orders".into(),
-        zone: if number.is_multiple_of(2) { "a" } else { "b" }.into(),
-        slots: 6,
-        state,
-        warmup: Span::ZERO,
-        started,
-        report,
-    }
+    let zone = if number.is_multiple_of(2) { "a" } else { "b" }.into();
+    Registration { zone, ..servers::registration(number, state, started, report) }
 }
 
 fn ready(number: u8) -> Registration {
