--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod diff;
 pub mod document;
 pub mod error;
+mod format;
 pub mod language;
 pub mod load;
 pub mod plot;
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -1,23 +1,21 @@
-//! Runs the subcommands and formats their output.
+//! Runs the subcommands.
 
 use crate::{
     args::{Action, BurnArgs, CodesArgs, DiffArgs, LoadArgs, PublishArgs, QueryArgs, WatchArgs},
     client::{self, Client},
     codes, diff, document,
     error::{Error, Exit, Result},
+    format::{
+        format_burn, format_command_response, format_coverage, format_load, format_response,
+        merge_reports, to_json,
+    },
     language::{self, Statement},
-    load::{self, LoadPlan, LoadReport},
+    load::{self, LoadPlan},
     plot, table,
 };
-use redwingtrestle_core::{codes::ResultCode, process::burn::Report};
-use redwingtrestle_wire::{
-    burn::BurnReport,
-    query::{Command, CommandResponse, Coverage, Query, QueryResponse, Rows},
-};
-use serde::Serialize;
+use redwingtrestle_core::codes::ResultCode;
+use redwingtrestle_wire::query::{Command, Query, QueryResponse};
 use std::{
-    collections::BTreeSet,
-    fmt::Write as _,
     fs,
     io::{IsTerminal, Write as _},
     time::{Duration, Instant},
@@ -186,158 +184,3 @@
     let rows = codes::all();
     Ok(Output::ok(if args.json { to_json(&rows) } else { table::rows(&rows) }))
 }
-
-/// Merges the reports of all nodes. If a node is listed twice, only its first report counts.
-fn merge_reports(
-    rows: Rows<redwingtrestle_wire::query::NodeBurnRow>,
-) -> Result<(BurnReport, Coverage)> {
-    let (mut sum, mut seen) = (Report::default(), BTreeSet::new());
-    for row in &rows.rows {
-        if seen.insert(&row.node) {
-            let report = Report::try_from(&row.report)
-                .map_err(|error| Error::NoResponse { what: format!("{}: {error}", row.node) })?;
-            sum.merge(&report);
-        }
-    }
-    Ok(((&sum).into(), rows.coverage))
-}
-
-fn to_json<T: Serialize>(value: &T) -> String {
-    serde_json::to_string_pretty(value).unwrap_or_else(|error| format!("{{\"error\":\"{error}\"}}"))
-}
-
-/// Formats a response as human-readable text.
-pub fn format_response(response: QueryResponse) -> Result<String> {
-    let (text, coverage) = match response {
-        QueryResponse::Ejected(rows) => (table::rows(&rows.rows), rows.coverage),
-        QueryResponse::Why(rows) => (table::rows(&rows.rows), rows.coverage),
-        QueryResponse::Services(rows) => (table::rows(&rows.rows), rows.coverage),
-        QueryResponse::Ranks(rows) => (table::rows(&rows.rows), rows.coverage),
-        QueryResponse::Nodes(rows) => (table::rows(&rows.rows), rows.coverage),
-        QueryResponse::Versions(rows) => (table::rows(&rows.rows), rows.coverage),
-        QueryResponse::Drains(rows) => (table::rows(&rows.rows), rows.coverage),
-        QueryResponse::Members(rows) => (table::rows(&rows.rows), rows.coverage),
-        QueryResponse::Stewards(rows) => (table::rows(&rows.rows), rows.coverage),
-        QueryResponse::Burn(rows) => {
-            let (report, coverage) = merge_reports(rows)?;
-            (format_burn(&report), coverage)
-        }
-        QueryResponse::Config(rows) => {
-            let newest = rows.rows.iter().max_by_key(|row| row.version);
-            let text = newest.map_or(String::new(), |row| {
-                format!("version {}\n{}\n", row.version, to_json(&row.doc))
-            });
-            (text, rows.coverage)
-        }
-    };
-    Ok(text + &format_coverage(&coverage))
-}
-
-fn format_coverage(coverage: &Coverage) -> String {
-    match coverage.missing.len() {
-        0 => format!("{} nodes answered\n", coverage.answered.len()),
-        n => format!(
-            "{} nodes answered, {n} did not: {}\n",
-            coverage.answered.len(),
-            coverage.missing.join(", "),
-        ),
-    }
-}
-
-fn format_command_response(response: &CommandResponse, code: Option<ResultCode>) -> String {
-    let name = code.map_or("unlisted code".into(), |code| code.to_string());
-    let dry = if response.dry_run { ", dry run" } else { "" };
-    let version = response.version.map_or(String::new(), |v| format!(", version {v}"));
-    let mut text = format!("{} {name}{version}{dry}: {}\n", response.code, response.message);
-    if !response.change.is_empty() {
-        let _ = write!(text, "\n{}", table::rows(&response.change));
-    }
-    if !response.floors.is_empty() {
-        let _ = write!(text, "\n{}", table::rows(&response.floors));
-    }
-    text + "\n" + &format_coverage(&response.coverage)
-}
-
-fn format_burn(report: &BurnReport) -> String {
-    let columns = [
-        "service",
-        "rank",
-        "5m",
-        "30m",
-        "1h",
-        "6h",
-        "budget left",
-        "good",
-        "late",
-        "shed",
-        "failed",
-        "unknown",
-        "refused",
-        "alerts",
-    ];
-    let rows: Vec<Vec<String>> = report
-        .rows
-        .iter()
-        .map(|row| {
-            let mut cells = vec![row.service.clone(), row.rank.clone()];
-            cells.extend(row.windows.iter().map(|w| format!("{:.2}", w.burn_rate)));
-            cells.push(format!("{:.1}%", row.budget_left * 100.0));
-            let counts = row.windows.last().map(|w| w.counts).unwrap_or_default();
-            let each = [
-                counts.good,
-                counts.late,
-                counts.shed,
-                counts.failed,
-                counts.unknown,
-                counts.refused,
-            ];
-            cells.extend(each.map(|n| n.to_string()));
-            let firing: Vec<String> = row
-                .alerts
-                .iter()
-                .filter(|a| a.firing)
-                .map(|a| format!("{} min at {}x", a.long_s / 60, a.factor))
-                .collect();
-            cells.push(if firing.is_empty() { "none".into() } else { firing.join(", ") });
-            cells
-        })
-        .collect();
-    let version = report.version;
-    format!("{}counts cover 6 h; targets of version {version}\n", table::render(&columns, &rows))
-}
-
-fn format_load(report: &LoadReport) -> String {
-    let columns = [
-        "stream", "sent", "good", "late", "ran", "not run", "unknown", "resends", "p50 ms",
-        "p99 ms", "p99.9 ms", "max ms",
-    ];
-    let ms = |us: u64| format!("{:.2}", us as f64 / 1e3);
-    let rows: Vec<Vec<String>> = report
-        .streams
-        .iter()
-        .map(|s| {
-            let mut cells = vec![s.name.clone()];
-            let counts = [s.requests, s.good, s.late, s.ran, s.not_run, s.unknown, s.resends];
-            cells.extend(counts.map(|n| n.to_string()));
-            let l = &s.answered;
-            cells.extend([l.p50_us, l.p99_us, l.p999_us, l.max_us].map(ms));
-            cells
-        })
-        .collect();
-    let mut text = table::render(&columns, &rows);
-    let _ = writeln!(
-        text,
-        "offered {:.1}/s for {:.1} s, {} skipped, generator lag p99 {} ms",
-        report.offered_rate(),
-        report.elapsed_ms as f64 / 1e3,
-        report.skipped,
-        ms(report.lag.p99_us),
-    );
-    for stream in &report.streams {
-        for (code, count) in &stream.codes {
-            let name = ResultCode::from_number(*code).map_or("unlisted", Into::into);
-            let _ = writeln!(text, "{}: code {code} {name}: {count}", stream.name);
-        }
-    }
-    text
-}
