Log the limits on requests that servers name in their responses

No line of the log told whether a node knew of a limit.

The header is read and kept for the server's start, each change is logged, and the line of a request has the limit of the server that was chosen. Nothing decides by it yet.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -23,6 +23,7 @@
 mod relayable_changes;
 pub mod rendezvous;
 pub mod response_proof;
+pub mod server_limit;
 pub mod server_pause;
 pub mod server_registry;
 pub mod service_leader;
--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -100,6 +100,8 @@
     pub load: u32,
     /// Estimated probability, from 0 to 1, that the server's queue makes the response late.
     pub late_probability: f64,
+    /// The limit on requests per second that the server names.
+    pub limit: Option<f64>,
     /// Number of candidate servers.
     pub candidates: usize,
     /// Whether the server was chosen only because too few servers of the service are in use.
@@ -235,6 +237,7 @@
         age: server.age(now),
         load: server.load(registry.options().report_age, now),
         late_probability: loss.late_probability,
+        limit: server.limit(),
         candidates,
         is_trial: false,
     }
--- a/crates/core/src/process/server_registry.rs
+++ b/crates/core/src/process/server_registry.rs
@@ -9,6 +9,7 @@
         recent_ranks::RecentRanks,
         registration::{Registration, RegistrationState, ServerId},
         relayable_changes::RelayableChanges,
+        server_limit::{LimitChange, ServerLimit},
         server_pause::ServerPauses,
         service_outcomes::{OutcomeCounts, ServiceOutcomes},
         start_marks::ServerStart,
@@ -319,6 +320,7 @@
             in_flight: 0,
             peer_in_flight: BTreeMap::new(),
             counts: Counts::default(),
+            limit: ServerLimit::default(),
             registration,
         };
         self.servers.insert(id, server);
@@ -404,6 +406,20 @@
         self.pauses.record(now, start, pause, draw)
     }
 
+    /// Records the limit that a response of a start names, or that it names none, and returns what that changed.
+    pub fn observe_limit(
+        &mut self,
+        now: Timestamp,
+        start: &ServerStart,
+        named: Option<f64>,
+    ) -> Option<LimitChange> {
+        let server = self.servers.get_mut(&start.id)?;
+        if ServerStart::from(&server.registration) != *start {
+            return None;
+        }
+        server.limit.observe(now, named)
+    }
+
     /// Returns how long it takes until the first server of a service accepts work again, or `None` unless all of them
     /// pause.
     pub fn pause_left(&self, now: Timestamp, service: &ServiceName) -> Option<Span> {
--- a/crates/core/src/process/tracked_server.rs
+++ b/crates/core/src/process/tracked_server.rs
@@ -4,6 +4,7 @@
     process::{
         health_estimate::{HealthEstimate, HealthOptions, Observation},
         registration::Registration,
+        server_limit::ServerLimit,
         stream_position::StreamPosition,
     },
     time::{Span, Timestamp},
@@ -47,6 +48,8 @@
     /// Requests in flight of the other nodes by start id, with the time of the report.
     pub(super) peer_in_flight: BTreeMap<u64, (u32, Timestamp)>,
     pub(super) counts: Counts,
+    /// The limit on requests that its responses name.
+    pub(super) limit: ServerLimit,
 }
 
 /// This node's observations of one server since its last report to the other nodes.
@@ -122,6 +125,11 @@
         &self.registration
     }
 
+    /// Returns the limit on the requests per second from all nodes together, if the server names one.
+    pub fn limit(&self) -> Option<f64> {
+        self.limit.per_second()
+    }
+
     /// Returns this node's requests in flight at the server.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -446,7 +446,7 @@
             ms = took.as_millis(), last = state.last_end.as_str(),
             failing = choice.map(|c| (c.failure_probability * 100.0) as u64), age_ms = choice.map(|c| c.age.as_millis()),
             trial = choice.map(|c| c.is_trial), load = choice.map(|c| c.load), late = choice.map(|c| (c.late_probability * 100.0) as u64),
-            among = choice.map(|c| c.candidates), rank = self.route.priority,
+            among = choice.map(|c| c.candidates), limit = choice.and_then(|c| c.limit), rank = self.route.priority,
             target_ms = self.route.target.as_millis(), limit_ms = state.max_response_time.map(Span::as_millis);
             "{result}");
     }
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -17,6 +17,8 @@
     pub signature: HeaderName,
     /// Marks all responses of a server that leaves and wants no new work.
     pub leaving: HeaderName,
+    /// The requests per second that the server takes from all nodes together.
+    pub limit: HeaderName,
 }
 
 impl Default for HeaderNames {
@@ -28,6 +30,7 @@
             not_run: HeaderName::from_static("redwing-shed"),
             signature: HeaderName::from_static("redwing-signature"),
             leaving: HeaderName::from_static("redwing-leaving"),
+            limit: HeaderName::from_static("redwing-limit"),
         }
     }
 }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -81,6 +81,16 @@
             "a server turned a request away and gets no more until its pause ends");
     }
 
+    /// Records the limit on requests per second that the server's response names, `None` if it names none.
+    pub fn record_limit(&self, named: Option<f64>) {
+        let Some(start) = &self.start else { return };
+        let now = self.shared.now();
+        let change = self.shared.fleet().registry.observe_limit(now, start, named);
+        let Some(change) = change else { return };
+        log::info!(target: "servers", server = self.server(), attempt = self.attempt(), limit:? = named,
+            source = "response"; "limit of a server on requests per second: {change}");
+    }
+
     /// Returns whether the server left too long ago to get this request.
     pub fn has_server_left(&self) -> bool {
         self.shared.fleet().registry.has_left(self.shared.now(), &self.id)
--- a/crates/gateway/src/server_notice.rs
+++ b/crates/gateway/src/server_notice.rs
@@ -2,7 +2,7 @@
 
 use crate::{header_names::HeaderNames, in_flight::InFlightSend};
 use hyper::{header::RETRY_AFTER, http::response::Parts, StatusCode};
-use redwingtrestle_core::process::server_pause;
+use redwingtrestle_core::process::{server_limit, server_pause};
 
 /// Records what the head of a response says about its server.
 ///
@@ -16,6 +16,7 @@
     if head.headers.contains_key(&header_names.leaving) {
         in_flight.record_leaving();
     }
+    record_limit(head, header_names, in_flight);
     if head.status != StatusCode::SERVICE_UNAVAILABLE {
         return;
     }
@@ -24,3 +25,18 @@
         in_flight.record_pause(pause);
     }
 }
+
+/// Records the limit of the server, or that it names none. A value that cannot be read says neither.
+fn record_limit(head: &Parts, header_names: &HeaderNames, in_flight: &InFlightSend) {
+    let Some(value) = head.headers.get(&header_names.limit) else {
+        in_flight.record_limit(None);
+        return;
+    };
+    match value.to_str().ok().and_then(server_limit::parse_limit) {
+        Some(limit) => in_flight.record_limit(Some(limit)),
+        None => {
+            log::warn!(target: "servers", server = in_flight.server(), attempt = in_flight.attempt();
+                "a server names a limit that is no number, the one known before stays: {value:?}");
+        }
+    }
+}
