Show that a fleet sends a server more than the limit it names

Three gateways in one process that exchange messages, three servers, 45 calls a second; one server names 2 requests a second. Counted from 3 s after that it got 62 requests in 4 s, where half as many again as the limit and 5 more, 17, are allowed. No caller went unserved, so the other servers had room.

--- a/crates/gateway/tests/common/behaviour.rs
+++ b/crates/gateway/tests/common/behaviour.rs
@@ -39,6 +39,8 @@
     Pause(u64),
     /// Responds with 503 without the "not run" header, and asks for a pause of this many milliseconds.
     PauseUnmarked(u64),
+    /// Responds with this status, and names a limit of this many requests in 10 s.
+    Limit(u16, u32),
     /// Responds with a megabyte and says that the server leaves.
     LeaveWithLongBody,
 }
@@ -66,6 +68,7 @@
             Behaviour::Leave(status) => leaving(status, id, ""),
             Behaviour::LeaveAndShed => leaving_refusal(id),
             Behaviour::LeaveForeignId => leaving(200, "another-attempt", ""),
+            Behaviour::Limit(status, tenths) => limited(status, id, tenths),
             Behaviour::LeaveWithLongBody => leaving(200, id, &"x".repeat(1_000_000)),
             Behaviour::Pause(ms) => pausing(ms, id, "redwing-shed: 1\r\n"),
             Behaviour::PauseUnmarked(ms) => pausing(ms, id, ""),
@@ -133,3 +136,9 @@
 fn leaving_refusal(id: &str) -> String {
     leaving(503, id, "").replacen("content-length", "redwing-shed: 1\r\ncontent-length", 1)
 }
+
+/// Returns a response of a server that names a limit.
+fn limited(status: u16, id: &str, tenths: u32) -> String {
+    let line = format!("redwing-limit: {}\r\n", f64::from(tenths) / 10.0);
+    empty(status, id).replacen("content-length", &format!("{line}content-length"), 1)
+}
--- a/crates/gateway/tests/common/gateway.rs
+++ b/crates/gateway/tests/common/gateway.rs
@@ -8,6 +8,7 @@
 use redwingtrestle_core::process::registration::RegistrationState;
 use redwingtrestle_gateway::{
     accept,
+    gossip::Gossip,
     header_names::HeaderNames,
     settings::Settings,
     shared::Shared,
@@ -22,7 +23,7 @@
     },
     time::{Duration, Instant},
 };
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 
 /// The retries that tests allow, enough not to limit them.
 const DEFAULT_RETRY_FLOOR: u64 = 1_000;
@@ -123,6 +124,16 @@
         }
     }
 
+    /// Makes the gateway exchange messages with these others, as in a fleet.
+    pub(crate) async fn join(&self, others: &[&TestGateway]) {
+        let socket = UdpSocket::bind(self.shared.settings.peer).await.expect("a free address");
+        for other in others {
+            let addr = other.shared.settings.peer;
+            self.shared.fleet().peers.add_address(self.shared.now(), addr);
+        }
+        tokio::spawn(Gossip::new(self.shared.clone(), socket).run());
+    }
+
     /// Sends one request on a new connection, and returns the reply.
     pub(crate) async fn call(&self, text: &str) -> Reply {
         let mut caller = Caller::connect(self.entry).await;
--- a/crates/gateway/tests/common/http.rs
+++ b/crates/gateway/tests/common/http.rs
@@ -1,5 +1,6 @@
 //! Reads HTTP messages from a socket without a library, so that a test sees what was sent.
 
+use std::time::Instant;
 use tokio::{io::AsyncReadExt, net::TcpStream};
 
 /// `ReceivedRequest` is a request as a backend server received it.
@@ -9,6 +10,8 @@
     pub(crate) head: String,
     /// The body.
     pub(crate) body: Vec<u8>,
+    /// When the whole request had arrived.
+    pub(crate) at: Instant,
 }
 
 /// Returns the value of a header in a lower-case head, or an empty string.
@@ -35,5 +38,5 @@
     let head = read_head(socket).await?;
     let mut body = vec![0; header(&head, "content-length").parse().unwrap_or(0)];
     socket.read_exact(&mut body).await.ok()?;
-    Some(ReceivedRequest { head, body })
+    Some(ReceivedRequest { head, body, at: Instant::now() })
 }
