Keep the limit on requests that a server names, over all nodes

A limit is for all nodes together, and they cannot agree on each request. Each node now has two budgets for such a server: its part of the limit, and the limit less what it hears of all sends. Nodes tell each other the limit, with the age of the response that named it. A server without budget is no candidate; when that holds for all servers longer than a request would wait, it is refused at once with the time until the first may get one.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -33,4 +33,5 @@
 pub mod stop_plan;
 pub mod stream_position;
 pub mod stream_watch;
+mod token_bucket;
 pub mod tracked_server;
--- a/crates/core/src/process/peer_table.rs
+++ b/crates/core/src/process/peer_table.rs
@@ -4,6 +4,7 @@
     ids::DataCentre,
     process::{
         fan_out::{FleetSize, MAX_FAILURE_BATCH, MAX_NEAR_BATCH},
+        server_limit::NodeCounts,
         stream_position::StreamPosition,
     },
     time::{Span, Timestamp},
@@ -188,6 +189,17 @@
         1 + self.live_peers(now).count()
     }
 
+    /// Returns the nodes among which a limit on all nodes together is divided. A node that was stopping when it fell
+    /// silent has ended and uses no part.
+    pub fn node_counts(&self, now: Timestamp) -> NodeCounts {
+        let has_ended = |p: &Peer| {
+            let is_stopping = p.status.as_ref().is_some_and(|s| s.state == NodeState::Stopping);
+            is_stopping && !self.is_live(now, p)
+        };
+        let known = 1 + self.peers.values().filter(|p| !has_ended(p)).count();
+        NodeCounts { live: self.live_count(now) as u32, known: known as u32 }
+    }
+
     /// Returns the nodes that are due a status message and records it as sent.
     pub fn take_due(&mut self, now: Timestamp, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let known = self.peers.len();
--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -85,6 +85,13 @@
     pub max_response_time: Option<Span>,
 }
 
+impl PickRequest<'_> {
+    /// Returns whether no more urgent work of the service needs the room that this request takes.
+    fn is_urgent(&self) -> bool {
+        self.max_response_time.is_none()
+    }
+}
+
 /// The chosen server and the estimates behind the choice.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -164,7 +171,9 @@
     let candidates: Vec<(&TrackedServer, Loss)> = usable
         .iter()
         .filter(|s| {
-            !request.tried.contains(&s.registration().id) && s.in_flight() < request.max_in_flight
+            !request.tried.contains(&s.registration().id)
+                && s.in_flight() < request.max_in_flight
+                && s.is_within_limit(now, request.is_urgent())
         })
         .map(|s| (*s, loss(options, registry, now, s, request, work)))
         .filter(|(_, loss)| !loss.is_too_slow)
--- a/crates/core/src/process/tracked_server.rs
+++ b/crates/core/src/process/tracked_server.rs
@@ -130,6 +130,11 @@
         self.limit.per_second()
     }
 
+    /// Returns whether the limit that the server names leaves room for a request of this node.
+    pub fn is_within_limit(&self, now: Timestamp, is_urgent: bool) -> bool {
+        self.limit.wait(now, is_urgent) == Span::ZERO
+    }
+
     /// Returns this node's requests in flight at the server.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -1,9 +1,13 @@
 //! The datagrams between nodes, encoded with postcard, and their limits of size.
 
-use redwingtrestle_core::process::{
-    peer_table::NodeState,
-    service_outcomes::OutcomeCounts,
-    tracked_server::{Counts, ServerReport},
+use redwingtrestle_core::{
+    process::{
+        peer_table::NodeState,
+        server_limit::LimitReport,
+        service_outcomes::OutcomeCounts,
+        tracked_server::{Counts, ServerReport},
+    },
+    time::Span,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -17,6 +21,9 @@
 /// The largest number of services whose outcome counts fit beside the rows of a report.
 pub(crate) const MAX_OUTCOMES: usize = 20;
 
+/// The largest number of limits that fits a datagram.
+pub(crate) const MAX_LIMITS: usize = 36;
+
 /// The largest encoded sizes of a report's head, of one of its rows and of the outcome counts of a service, in bytes.
 pub(crate) const MAX_REPORT_HEAD: usize = 16;
 const MAX_ROW_SIZE: usize = 13;
@@ -50,6 +57,9 @@
     Report { from: u64, relay: bool, rows: Vec<RowDoc>, outcomes: Vec<OutcomesDoc> },
     /// Periodic reports of nodes in other data centres, which the sender relays together.
     Relayed(Vec<ReportDoc>),
+    /// Limits that servers name. If `relay` is set, the receiver relays them in its own data centre. Nodes of version 0.1
+    /// drop the message.
+    Limits { relay: bool, rows: Vec<LimitDoc> },
 }
 
 /// What follows a status in its datagram. Nodes of version 0.1 ignore it, and do not send it.
@@ -121,6 +131,28 @@
     }
 }
 
+/// The encoding of a [`LimitReport`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct LimitDoc {
+    tag: u32,
+    started: u64,
+    limit: Option<f64>,
+    age_ms: u32,
+}
+
+impl From<LimitReport> for LimitDoc {
+    fn from(LimitReport { tag, started, limit, age }: LimitReport) -> Self {
+        let age_ms = age.as_millis().min(u64::from(u32::MAX)) as u32;
+        LimitDoc { tag, started, limit, age_ms }
+    }
+}
+
+impl From<LimitDoc> for LimitReport {
+    fn from(LimitDoc { tag, started, limit, age_ms }: LimitDoc) -> Self {
+        LimitReport { tag, started, limit, age: Span::from_millis(age_ms.into()) }
+    }
+}
+
 /// The encoding of a [`ServerReport`].
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct RowDoc {
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -308,7 +308,8 @@
             if let Some(choice) = self.pick(&state.tried, failure_loss, state.max_response_time) {
                 return Some(choice);
             }
-            if self.all_servers_pause() {
+            let left = until.saturating_duration_since(tokio::time::Instant::now());
+            if self.all_servers_pause() || self.limits_outlast(state, left) {
                 return None;
             }
             // After the pause, a server that refused the request may be tried again.
@@ -394,6 +395,15 @@
         self.shared.fleet().registry.pause_left(now, &self.outgoing.service).is_some()
     }
 
+    /// Returns whether the limits of all servers forbid a request for longer than `time`, so that waiting is in vain.
+    fn limits_outlast(&self, state: &SendState, time: std::time::Duration) -> bool {
+        let now = self.shared.now();
+        let is_urgent = state.max_response_time.is_none();
+        let fleet = self.shared.fleet();
+        let wait = fleet.registry.limit_wait(now, &self.outgoing.service, is_urgent);
+        wait.is_some_and(|wait| duration(wait) > time)
+    }
+
     /// Returns whether the service has any usable server, even if none can take this request.
     fn has_servers(&self) -> bool {
         let now = self.shared.now();
--- a/crates/gateway/src/gossip/mod.rs
+++ b/crates/gateway/src/gossip/mod.rs
@@ -7,16 +7,17 @@
 use crate::{
     clock::duration,
     datagram::{
-        self, Datagram, OutcomesDoc, ReportDoc, RowDoc, StatusTail, MAX_DATAGRAM, MAX_OUTCOMES,
-        MAX_ROWS,
+        self, Datagram, LimitDoc, OutcomesDoc, ReportDoc, RowDoc, StatusTail, MAX_DATAGRAM,
+        MAX_LIMITS, MAX_OUTCOMES, MAX_ROWS,
     },
     shared::{Fleet, Shared},
 };
+use rand::Rng;
 use redwingtrestle_core::{
     ids::DataCentre,
     process::{
-        peer_table::NodeStatus, service_outcomes::OutcomeCounts, stream_position::StreamPosition,
-        tracked_server::ServerReport,
+        peer_table::NodeStatus, server_limit::LimitReport, service_outcomes::OutcomeCounts,
+        stream_position::StreamPosition, tracked_server::ServerReport,
     },
     time::{Span, Timestamp},
 };
@@ -148,6 +149,13 @@
                     self.apply_report(now, report);
                 }
             }
+            Datagram::Limits { relay, rows } => {
+                self.apply_limits(now, from, &rows);
+                if relay {
+                    let near = self.shared.fleet().nearby_peers(now);
+                    self.send(&Datagram::Limits { relay: false, rows }, &near).await;
+                }
+            }
         }
     }
 
@@ -172,6 +180,20 @@
         }
     }
 
+    fn apply_limits(&self, now: Timestamp, peer: SocketAddr, rows: &[LimitDoc]) {
+        for row in rows {
+            let report = LimitReport::from(*row);
+            let change = {
+                let mut fleet = self.shared.fleet();
+                let draw = fleet.rng.random();
+                fleet.registry.add_limit_report(now, &report, draw)
+            };
+            let Some((id, change)) = change else { continue };
+            log::info!(target: "servers", server = id.as_str(), limit:? = report.limit, age_ms = report.age.as_millis(),
+                source:% = peer; "limit of a server on requests per second: {change}");
+        }
+    }
+
     /// Relays a report of another data centre: failures at once, all else together each [`REPORT_INTERVAL`].
     async fn relay(&mut self, now: Timestamp, report: ReportDoc) {
         if !report.has_failure() {
@@ -198,7 +220,7 @@
         }
     }
 
-    /// Sends this node's status and the addresses of known nodes to a new node.
+    /// Sends this node's status, the addresses of known nodes and the limits of servers to a new node.
     async fn send_status_and_nodes(&self, to: SocketAddr) {
         let mut known = self.shared.fleet().peers.addresses();
         known.retain(|addr| *addr != to);
@@ -207,6 +229,8 @@
         if !known.is_empty() {
             self.send(&Datagram::Nodes(known), &[to]).await;
         }
+        let limit_reports = self.shared.fleet().registry.limit_reports(self.shared.now());
+        self.send_limit_reports(&limit_reports, false, &[to]).await;
     }
 
     /// Returns this node's status, and the era of its position.
@@ -232,6 +256,25 @@
         (status, StatusTail { era: position.era })
     }
 
+    /// Tells other nodes the limits that this node's responses have named since the last call.
+    async fn send_limits(&self) {
+        let now = self.shared.now();
+        let limit_reports = self.shared.fleet().registry.take_limit_reports(now);
+        if limit_reports.is_empty() {
+            return;
+        }
+        let (near, relays) = self.report_targets(now, false);
+        self.send_limit_reports(&limit_reports, false, &near).await;
+        self.send_limit_reports(&limit_reports, true, &relays).await;
+    }
+
+    async fn send_limit_reports(&self, reports: &[LimitReport], relay: bool, to: &[SocketAddr]) {
+        for chunk in reports.chunks(MAX_LIMITS) {
+            let rows = chunk.iter().copied().map(LimitDoc::from).collect();
+            self.send(&Datagram::Limits { relay, rows }, to).await;
+        }
+    }
+
     async fn send_status(&self, to: &[SocketAddr]) {
         let (status, tail) = self.status();
         self.send_encoded(datagram::encode(&status, tail), to).await;
@@ -244,6 +287,7 @@
             let mut fleet = self.shared.fleet();
             let Fleet { peers, rng, registry, .. } = &mut *fleet;
             registry.tick(now);
+            registry.set_nodes(now, peers.node_counts(now));
             (peers.take_due(now, rng), peers.live_count(now))
         };
         if live_nodes != self.live_nodes {
@@ -258,6 +302,7 @@
         if now.since(self.last_report) >= REPORT_INTERVAL {
             self.send_report(false).await;
         }
+        self.send_limits().await;
         if now.since(self.last_relayed) >= REPORT_INTERVAL {
             self.send_relayed().await;
         }
@@ -324,11 +369,7 @@
     /// Sends this node's status to nodes of its own data centre, after new records from the store.
     async fn send_status_nearby(&self) {
         let now = self.shared.now();
-        let near = {
-            let mut fleet = self.shared.fleet();
-            let Fleet { peers, rng, .. } = &mut *fleet;
-            peers.nearby_peers(now, rng)
-        };
+        let near = self.shared.fleet().nearby_peers(now);
         self.send_status(&near).await;
     }
 
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -85,7 +85,11 @@
     pub fn record_limit(&self, named: Option<f64>) {
         let Some(start) = &self.start else { return };
         let now = self.shared.now();
-        let change = self.shared.fleet().registry.observe_limit(now, start, named);
+        let change = {
+            let mut fleet = self.shared.fleet();
+            let draw = fleet.rng.random();
+            fleet.registry.observe_limit(now, start, named, draw)
+        };
         let Some(change) = change else { return };
         log::info!(target: "servers", server = self.server(), attempt = self.attempt(), limit:? = named,
             source = "response"; "limit of a server on requests per second: {change}");
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -24,7 +24,7 @@
 };
 use std::sync::Arc;
 
-/// The `Retry-After` of a refusal, unless all servers of the service pause.
+/// The `Retry-After` of a refusal, unless no server of the service accepts work for longer.
 const RETRY_AFTER: Span = Span::from_millis(500);
 
 /// How long a request waits for the first configuration of a process. When all nodes restart together, callers connect
@@ -80,10 +80,15 @@
     response.map(|body| body.with_guards(busy, open_guard))
 }
 
-/// Returns what a refused caller is told to wait. While all servers of the service pause, an earlier return is in vain.
+/// Returns what a refused caller is told to wait. While all servers of the service pause, or none may get a request
+/// within the limit that it names, an earlier return is in vain.
 fn retry_after(shared: &Shared, service: Option<&ServiceName>) -> Span {
     let mut fleet = shared.fleet();
-    let left = service.and_then(|service| fleet.registry.pause_left(shared.now(), service));
+    let now = shared.now();
+    let left = service.and_then(|service| {
+        let registry = &fleet.registry;
+        registry.pause_left(now, service).or_else(|| registry.limit_wait(now, service, true))
+    });
     left.map_or(RETRY_AFTER, |left| server_pause::retry_after(left, fleet.rng.random()))
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -21,6 +21,7 @@
 };
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         atomic::{AtomicUsize, Ordering},
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
@@ -77,6 +78,11 @@
         self.peers.is_reader(now, self.era())
     }
 
+    /// Returns a random selection of the live nodes of this data centre, see [`PeerTable::nearby_peers`].
+    pub fn nearby_peers(&mut self, now: Timestamp) -> Vec<SocketAddr> {
+        self.peers.nearby_peers(now, &mut self.rng)
+    }
+
     /// Returns whether this node is one of those that call an unreachable store often.
     pub fn is_prober(&self, now: Timestamp) -> bool {
         self.peers.is_prober(now, self.era())
