--- a/crates/core/tests/common/limited_fleet.rs
+++ b/crates/core/tests/common/limited_fleet.rs
@@ -215,7 +215,7 @@
     fn send_reports(&mut self) {
         let turns = REPORT_MS / STEP_MS;
         for node in 0..self.nodes.len() {
-            if (self.now_ms / STEP_MS + node as u64) % turns != 0 {
+            if !(self.now_ms / STEP_MS + node as u64).is_multiple_of(turns) {
                 continue;
             }
             let registry = &mut self.nodes[node].registry;
