Log the fingerprint of requests, and servers that end while they run one

The log could not tell that attempts at several nodes were the same request, nor a server that ended from a connection that broke.

The line of each request has a fingerprint of method, host, path, caller and body. When the connection of a send breaks, the node connects to the server once more; a port that refuses shows that the process has ended, which is logged with the fingerprint. Nothing decides by it yet.

--- a/crates/core/src/process/server_registry.rs
+++ b/crates/core/src/process/server_registry.rs
@@ -390,6 +390,13 @@
         self.leaving_since(id).is_some()
     }
 
+    /// Returns whether a start of a server is registered and has not said that it leaves.
+    pub fn is_in_service(&self, start: &ServerStart) -> bool {
+        let is_same = |s: &&TrackedServer| ServerStart::from(&s.registration) == *start;
+        let server = self.servers.get(&start.id).filter(is_same);
+        server.is_some_and(|s| s.presence == Presence::Ready) && !self.is_leaving(&start.id)
+    }
+
     /// Returns whether a server left too long ago to get even a request for which it was already chosen.
     pub fn has_left(&self, now: Timestamp, id: &ServerId) -> bool {
         let since = self.leaving_since(id);
--- a/crates/core/src/process/start_marks.rs
+++ b/crates/core/src/process/start_marks.rs
@@ -30,6 +30,16 @@
 }
 
 impl ServerStart {
+    /// Returns the address that the server listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns the start time in Unix milliseconds, 0 if unknown.
+    pub fn started(&self) -> u64 {
+        self.started
+    }
+
     fn matches(&self, registration: &Registration) -> bool {
         self.started == registration.started
             && self.addr == registration.addr
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -452,7 +452,7 @@
         // bound that more urgent requests set on the response time.
         let choice = state.last_choice.as_ref();
         log::info!(target: "requests", attempt = &*self.outgoing.attempt, route = &*self.route.name, service,
-            version = self.config_version, servers = servers.join(","), sends = state.sends, status,
+            version = self.config_version, fingerprint:% = self.outgoing.fingerprint, servers = servers.join(","), sends = state.sends, status,
             ms = took.as_millis(), last = state.last_end.as_str(),
             failing = choice.map(|c| (c.failure_probability * 100.0) as u64), age_ms = choice.map(|c| c.age.as_millis()),
             trial = choice.map(|c| c.is_trial), load = choice.map(|c| c.load), late = choice.map(|c| (c.late_probability * 100.0) as u64),
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -1,12 +1,16 @@
 //! Accounting of one send in flight: the load that it adds, and the health observations that it yields.
 
-use crate::{pool::ServerConnection, shared::Shared};
+use crate::{outgoing::OutgoingRequest, pool::ServerConnection, shared::Shared};
 use rand::Rng;
 use redwingtrestle_core::{
     process::{health_estimate::Observation, registration::ServerId, start_marks::ServerStart},
+    request::fingerprint::Fingerprint,
     time::{Span, Timestamp},
 };
-use std::sync::Arc;
+use std::{io, sync::Arc, time::Duration};
+
+/// The wait before the check whether a server has ended. An ending process may close its connections before its port.
+const CRASH_CHECK_DELAY: Duration = Duration::from_millis(10);
 
 /// Counts a send as in flight until dropped, and records observations of its server.
 #[derive(Debug)]
@@ -16,13 +20,14 @@
     /// The start of the server that the request goes to, unless the server was removed after the choice.
     start: Option<ServerStart>,
     attempt: Arc<str>,
+    fingerprint: Fingerprint,
     sent_at: Timestamp,
     is_slow: bool,
 }
 
 impl InFlightSend {
-    /// Counts a new send to the server `id`.
-    pub fn start(shared: &Arc<Shared>, id: &ServerId, attempt: &Arc<str>) -> Self {
+    /// Counts a new send of a request to the server `id`.
+    pub fn start(shared: &Arc<Shared>, id: &ServerId, request: &OutgoingRequest) -> Self {
         let mut fleet = shared.fleet();
         fleet.registry.record_send(shared.now(), id);
         let start = fleet.registry.server(id).map(|s| ServerStart::from(s.registration()));
@@ -31,7 +36,8 @@
             shared: shared.clone(),
             id: id.clone(),
             start,
-            attempt: attempt.clone(),
+            attempt: request.attempt.clone(),
+            fingerprint: request.fingerprint,
             sent_at: shared.now(),
             is_slow: false,
         }
@@ -116,6 +122,24 @@
             "the address belongs to another server now, the server gets no more requests");
     }
 
+    /// Finds out whether the connection broke because the server has ended, as opposed to a fault of the network or of
+    /// this response. Then its port refuses connections.
+    pub fn check_for_crash(&self) {
+        let Some(start) = self.start.clone() else { return };
+        let (attempt, fingerprint) = (self.attempt.clone(), self.fingerprint);
+        let shared = self.shared.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(CRASH_CHECK_DELAY).await;
+            let has_ended = ServerConnection::connect(start.addr())
+                .await
+                .is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused);
+            if has_ended && shared.fleet().registry.is_in_service(&start) {
+                log::info!(target: "servers", server = start.id.as_str(), attempt = &*attempt,
+                    fingerprint:% = fingerprint; "a server ended while it ran a request");
+            }
+        });
+    }
+
     /// Records a good response, unless it was slow: a slow one is no evidence of health.
     pub fn record_success(&mut self) {
         if !self.is_slow {
--- a/crates/gateway/src/outgoing.rs
+++ b/crates/gateway/src/outgoing.rs
@@ -5,10 +5,11 @@
 use http_body_util::BodyExt;
 use hyper::{
     body::{Body, Frame, Incoming, SizeHint},
-    header::HeaderMap,
+    header::{HeaderMap, HeaderName, AUTHORIZATION, CONTENT_LENGTH, USER_AGENT},
+    http::request::Parts,
     Method, Uri,
 };
-use redwingtrestle_core::{codes::ResultCode, ids::ServiceName};
+use redwingtrestle_core::{codes::ResultCode, ids::ServiceName, request::fingerprint::Fingerprint};
 use std::{
     io,
     pin::Pin,
@@ -34,6 +35,26 @@
     pub service: ServiceName,
     /// Whether the request must run at most once.
     pub at_most_once: bool,
+    /// Recognises the request when its caller sends it again.
+    pub fingerprint: Fingerprint,
+}
+
+/// The headers that tell callers apart. Their addresses do not: one caller may come from several.
+const CALLER_HEADERS: [HeaderName; 2] = [AUTHORIZATION, USER_AGENT];
+
+/// Returns the fingerprint of a request to `host`. A body too long to buffer counts by its stated length only.
+pub fn fingerprint(host: &str, head: &Parts, body: &RequestBody) -> Fingerprint {
+    let caller =
+        CALLER_HEADERS.map(|name| head.headers.get(name).map_or(&b""[..], |v| v.as_bytes()));
+    let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+    let length = head.headers.get(CONTENT_LENGTH).map_or(&b""[..], |v| v.as_bytes());
+    let content = match &body.body {
+        PrefixedBody { first: Some(bytes), rest: None } => bytes,
+        _ => length,
+    };
+    let method = head.method.as_str().as_bytes();
+    let [authorization, agent] = caller;
+    Fingerprint::of(&[method, host.as_bytes(), path.as_bytes(), authorization, agent, content])
 }
 
 /// A request body: the buffered beginning, and the unread rest if the body is too long to buffer.
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -142,7 +142,10 @@
         }
         match Pin::new(&mut streamed.body).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
-            Poll::Ready(Some(Err(e))) => Poll::Ready(Some(Err(streamed.fail(&e.to_string())))),
+            Poll::Ready(Some(Err(e))) => {
+                streamed.in_flight.check_for_crash();
+                Poll::Ready(Some(Err(streamed.fail(&e.to_string()))))
+            }
             Poll::Ready(None) => {
                 streamed.complete();
                 Poll::Ready(None)
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -122,6 +122,7 @@
     if shared.planned_stop().is_some_and(|stop| !stop.accepts_request(shared.now())) {
         return Err(ResultCode::NodeLeaving);
     }
+    let fingerprint = outgoing::fingerprint(host, &head, &body);
     reply::strip_hop_by_hop_headers(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     head.headers.remove(EXPECT);
@@ -135,6 +136,7 @@
         attempt: attempt.clone(),
         service,
         at_most_once,
+        fingerprint,
     };
     let routed = RoutedRequest {
         shared: shared.clone(),
--- a/crates/gateway/src/server_send.rs
+++ b/crates/gateway/src/server_send.rs
@@ -98,7 +98,7 @@
     deadline: Timestamp,
     is_repeat: bool,
 ) -> SendResult {
-    let mut in_flight = InFlightSend::start(shared, &choice.id, &request.attempt);
+    let mut in_flight = InFlightSend::start(shared, &choice.id, request);
     let retry_body = body.buffered_copy();
     let connection = match get_connection(shared, choice, request.at_most_once, is_repeat).await {
         Ok(connection) => connection,
@@ -255,6 +255,7 @@
             } else {
                 in_flight.observe(Observation::Lost);
             }
+            in_flight.check_for_crash();
             return SendResult::Lost(what);
         }
         Err(ExchangeError::Malformed(what)) => {
@@ -315,6 +316,7 @@
         }
         Err(e) => {
             in_flight.observe(Observation::Lost);
+            in_flight.check_for_crash();
             return SendResult::Lost(format!("the response broke off: {e}"));
         }
     };
