--- /dev/null
+++ b/crates/gateway/tests/common/crashing.rs
@@ -0,0 +1,117 @@
+//! Backend servers that end when they run one certain request, and are back after a while.
+
+use super::{header, read_request, MemoryStore};
+use redwingtrestle_core::{
+    process::registration::{Registration, RegistrationState, ServerId},
+    time::Span,
+};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+/// The path of the request that ends a server.
+pub(crate) const DEADLY_PATH: &str = "/free/deadly";
+
+/// How long a server runs the request before it ends.
+const RUN_TIME: Duration = Duration::from_millis(30);
+
+/// How long other requests take.
+const WORK_TIME: Duration = Duration::from_millis(20);
+
+/// How long a server is away after its end.
+const AWAY_TIME: Duration = Duration::from_millis(600);
+
+/// `CrashingServer` counts how often the deadly request began to run.
+#[derive(Clone, Debug)]
+pub(crate) struct CrashingServer {
+    id: ServerId,
+    addr: SocketAddr,
+    runs: Arc<Mutex<u32>>,
+}
+
+impl CrashingServer {
+    /// Starts a server that registers itself in these stores at each of its starts.
+    pub(crate) async fn start(name: &str, stores: Vec<MemoryStore>) -> CrashingServer {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let server = CrashingServer { id: ServerId(name.into()), addr, runs: Arc::default() };
+        tokio::spawn(server.clone().run(listener, stores));
+        server
+    }
+
+    /// Returns how often the deadly request began to run here.
+    pub(crate) fn runs(&self) -> u32 {
+        *self.runs.lock().unwrap()
+    }
+
+    async fn run(self, mut listener: TcpListener, stores: Vec<MemoryStore>) {
+        for started in 1.. {
+            for store in &stores {
+                store.register(self.registration(started));
+            }
+            self.serve_until_end(listener).await;
+            tokio::time::sleep(AWAY_TIME).await;
+            listener = TcpListener::bind(self.addr).await.unwrap();
+        }
+    }
+
+    /// Serves until the deadly request has run. All connections break then, and the port is closed.
+    async fn serve_until_end(&self, listener: TcpListener) {
+        let ended = watch::Sender::new(false);
+        let mut watch = ended.subscribe();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((socket, _)) = accepted else { continue };
+                    let (server, ended) = (self.clone(), ended.clone());
+                    tokio::spawn(async move {
+                        let mut watch = ended.subscribe();
+                        tokio::select! {
+                            () = server.serve(socket, &ended) => {}
+                            _ = watch.wait_for(|ended| *ended) => {}
+                        }
+                    });
+                }
+                _ = watch.wait_for(|ended| *ended) => return,
+            }
+        }
+    }
+
+    async fn serve(&self, mut socket: TcpStream, ended: &watch::Sender<bool>) {
+        while let Some(request) = read_request(&mut socket).await {
+            if request.head.contains(DEADLY_PATH) {
+                *self.runs.lock().unwrap() += 1;
+                tokio::time::sleep(RUN_TIME).await;
+                ended.send_replace(true);
+                return;
+            }
+            tokio::time::sleep(WORK_TIME).await;
+            let id = header(&request.head, "redwing-request-id");
+            let response = super::scripted::success(&id, "ok");
+            if socket.write_all(response.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn registration(&self, started: u64) -> Registration {
+        Registration {
+            id: self.id.clone(),
+            addr: self.addr,
+            service: "orders".into(),
+            zone: "a".into(),
+            slots: 6,
+            state: RegistrationState::Ready,
+            warmup: Span::ZERO,
+            started,
+            report: 1,
+        }
+    }
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -5,6 +5,7 @@
 mod backend;
 mod behaviour;
 mod caller;
+pub(crate) mod crashing;
 pub(crate) mod endless;
 mod gateway;
 mod http;
