Block a request under which three servers have ended

It came again with another attempt id, from another address, at another node, and each attempt sent it to two servers.

Cause: nothing connects one attempt with the next. Nodes now keep which servers ended under a fingerprint of method, host, path, caller and body, and tell each other at once. After three ends the request is refused as not run (2009) with the rest of the block as Retry-After. An end shows in a port that refuses connections; servers that end together count once, and a request that was served since the last end is not suspected.

--- a/crates/core/src/codes.rs
+++ b/crates/core/src/codes.rs
@@ -115,6 +115,8 @@
     ConnectFailed = 2007, 503, NotRun;
     /// The node does not carry the service, and no node that does took the request.
     NoCarrier = 2008, 503, NotRun;
+    /// Servers have ended one after the other while they ran this request, so it is not sent for a while.
+    CrashesServers = 2009, 503, NotRun;
     /// The connection was lost after the request was sent.
     ServerLost = 3001, 502, Unknown;
     /// The deadline passed after the request was sent.
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod balancer;
 pub mod burn;
+pub mod crash_records;
 pub mod detector;
 pub mod drain;
 pub mod ejections;
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -2,11 +2,13 @@
 
 use redwingtrestle_core::{
     process::{
+        crash_records::CrashReport,
         peer_table::NodeState,
         server_limit::LimitReport,
         service_outcomes::OutcomeCounts,
         tracked_server::{Counts, ServerReport},
     },
+    request::fingerprint::Fingerprint,
     time::Span,
 };
 use serde::{Deserialize, Serialize};
@@ -21,8 +23,8 @@
 /// The largest number of services whose outcome counts fit beside the rows of a report.
 pub(crate) const MAX_OUTCOMES: usize = 20;
 
-/// The largest number of limits that fits a datagram.
-pub(crate) const MAX_LIMITS: usize = 36;
+/// The largest number of limits, or of crashes, that fits a datagram.
+pub(crate) const MAX_SERVER_ROWS: usize = 36;
 
 /// The largest encoded sizes of a report's head, of one of its rows and of the outcome counts of a service, in bytes.
 pub(crate) const MAX_REPORT_HEAD: usize = 16;
@@ -60,6 +62,8 @@
     /// Limits that servers name. If `relay` is set, the receiver relays them in its own data centre. Nodes of version 0.1
     /// drop the message.
     Limits { relay: bool, rows: Vec<LimitDoc> },
+    /// Servers that ended while they ran a request, as in [`Limits`](Datagram::Limits).
+    Crashes { relay: bool, rows: Vec<CrashDoc> },
 }
 
 /// What follows a status in its datagram. Nodes of version 0.1 ignore it, and do not send it.
@@ -142,8 +146,7 @@
 
 impl From<LimitReport> for LimitDoc {
     fn from(LimitReport { tag, started, limit, age }: LimitReport) -> Self {
-        let age_ms = age.as_millis().min(u64::from(u32::MAX)) as u32;
-        LimitDoc { tag, started, limit, age_ms }
+        LimitDoc { tag, started, limit, age_ms: age_ms(age) }
     }
 }
 
@@ -153,6 +156,32 @@
     }
 }
 
+/// The encoding of a [`CrashReport`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct CrashDoc {
+    fingerprint: u64,
+    tag: u32,
+    started: u64,
+    age_ms: u32,
+}
+
+impl From<CrashReport> for CrashDoc {
+    fn from(CrashReport { fingerprint, tag, started, age }: CrashReport) -> Self {
+        CrashDoc { fingerprint: fingerprint.0, tag, started, age_ms: age_ms(age) }
+    }
+}
+
+impl From<CrashDoc> for CrashReport {
+    fn from(CrashDoc { fingerprint, tag, started, age_ms }: CrashDoc) -> Self {
+        let (fingerprint, age) = (Fingerprint(fingerprint), Span::from_millis(age_ms.into()));
+        CrashReport { fingerprint, tag, started, age }
+    }
+}
+
+fn age_ms(age: Span) -> u32 {
+    age.as_millis().min(u64::from(u32::MAX)) as u32
+}
+
 /// The encoding of a [`ServerReport`].
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct RowDoc {
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -239,6 +239,7 @@
         match send_result {
             SendResult::Response(response) => {
                 self.update_response_size(&response);
+                self.shared.fleet().crash_records.record_served(self.outgoing.fingerprint);
                 state.last_end = label.into();
                 return Some(RequestResult::Response(response));
             }
@@ -305,6 +306,9 @@
             }
             let is_last = self.outgoing.at_most_once || state.sends + 1 >= self.route.attempts;
             let failure_loss = if is_last { 1.0 } else { RETRIABLE_FAILURE_COST };
+            if self.is_blocked() {
+                return None;
+            }
             if let Some(choice) = self.pick(&state.tried, failure_loss, state.max_response_time) {
                 return Some(choice);
             }
@@ -379,6 +383,9 @@
         if let Some(response) = state.server_error.take() {
             return final_error(response);
         }
+        if !state.may_have_run && self.is_blocked() {
+            return RequestResult::Failure(ResultCode::CrashesServers);
+        }
         RequestResult::Failure(match (state.may_have_run, state.was_shed, state.tried.is_empty()) {
             (true, _, _) => ResultCode::ServerLost,
             (false, true, _) => ResultCode::Shed,
@@ -389,6 +396,19 @@
         })
     }
 
+    /// Returns whether servers ended one after the other while they ran this request. Nodes that do not know that yet are
+    /// told again.
+    fn is_blocked(&self) -> bool {
+        let now = self.shared.now();
+        let fingerprint = self.outgoing.fingerprint;
+        let crash_records = &mut self.shared.fleet().crash_records;
+        let is_blocked = crash_records.block_left(now, fingerprint).is_some();
+        if is_blocked {
+            crash_records.repeat(now, fingerprint);
+        }
+        is_blocked
+    }
+
     /// Returns whether no server of the service accepts work for a while, so that waiting for one is in vain.
     fn all_servers_pause(&self) -> bool {
         let now = self.shared.now();
--- a/crates/gateway/src/gossip/mod.rs
+++ b/crates/gateway/src/gossip/mod.rs
@@ -7,8 +7,8 @@
 use crate::{
     clock::duration,
     datagram::{
-        self, Datagram, LimitDoc, OutcomesDoc, ReportDoc, RowDoc, StatusTail, MAX_DATAGRAM,
-        MAX_LIMITS, MAX_OUTCOMES, MAX_ROWS,
+        self, CrashDoc, Datagram, LimitDoc, OutcomesDoc, ReportDoc, RowDoc, StatusTail,
+        MAX_DATAGRAM, MAX_OUTCOMES, MAX_ROWS, MAX_SERVER_ROWS,
     },
     shared::{Fleet, Shared},
 };
@@ -16,8 +16,9 @@
 use redwingtrestle_core::{
     ids::DataCentre,
     process::{
-        peer_table::NodeStatus, server_limit::LimitReport, service_outcomes::OutcomeCounts,
-        stream_position::StreamPosition, tracked_server::ServerReport,
+        crash_records::CrashReport, peer_table::NodeStatus, server_limit::LimitReport,
+        service_outcomes::OutcomeCounts, stream_position::StreamPosition,
+        tracked_server::ServerReport,
     },
     time::{Span, Timestamp},
 };
@@ -89,6 +90,7 @@
                 () = shared.report_now.notified() => {
                     tokio::time::sleep(duration(URGENT_REPORT_DELAY)).await;
                     self.send_report(true).await;
+                    self.send_crashes().await;
                 }
                 Ok(()) = phase.changed() => self.send_status_to_all().await,
                 () = shared.store_updates.notified() => self.send_status_nearby().await,
@@ -156,6 +158,13 @@
                     self.send(&Datagram::Limits { relay: false, rows }, &near).await;
                 }
             }
+            Datagram::Crashes { relay, rows } => {
+                self.apply_crashes(now, from, &rows);
+                if relay {
+                    let (near, _) = self.report_targets(now, true);
+                    self.send(&Datagram::Crashes { relay: false, rows }, &near).await;
+                }
+            }
         }
     }
 
@@ -194,6 +203,16 @@
         }
     }
 
+    fn apply_crashes(&self, now: Timestamp, peer: SocketAddr, rows: &[CrashDoc]) {
+        for report in rows.iter().copied().map(CrashReport::from) {
+            let blocked = self.shared.fleet().crash_records.record(now, &report, false);
+            if let Some(blocked) = blocked {
+                log::info!(target: "servers", fingerprint:% = report.fingerprint, blocked_ms = blocked.as_millis(),
+                    source:% = peer; "a request that ends servers is blocked");
+            }
+        }
+    }
+
     /// Relays a report of another data centre: failures at once, all else together each [`REPORT_INTERVAL`].
     async fn relay(&mut self, now: Timestamp, report: ReportDoc) {
         if !report.has_failure() {
@@ -220,7 +239,8 @@
         }
     }
 
-    /// Sends this node's status, the addresses of known nodes and the limits of servers to a new node.
+    /// Sends a new node what it may have missed: this node's status, the addresses of known nodes, the limits of servers,
+    /// and the servers that ended while they ran a request.
     async fn send_status_and_nodes(&self, to: SocketAddr) {
         let mut known = self.shared.fleet().peers.addresses();
         known.retain(|addr| *addr != to);
@@ -229,8 +249,15 @@
         if !known.is_empty() {
             self.send(&Datagram::Nodes(known), &[to]).await;
         }
-        let limit_reports = self.shared.fleet().registry.limit_reports(self.shared.now());
-        self.send_limit_reports(&limit_reports, false, &[to]).await;
+        let now = self.shared.now();
+        let (limit_reports, crash_reports) = {
+            let fleet = self.shared.fleet();
+            (fleet.registry.limit_reports(now), fleet.crash_records.reports(now))
+        };
+        let rows: Vec<LimitDoc> = limit_reports.into_iter().map(LimitDoc::from).collect();
+        self.send_rows(&rows, &[to], |rows| Datagram::Limits { relay: false, rows }).await;
+        let rows: Vec<CrashDoc> = crash_reports.into_iter().map(CrashDoc::from).collect();
+        self.send_rows(&rows, &[to], |rows| Datagram::Crashes { relay: false, rows }).await;
     }
 
     /// Returns this node's status, and the era of its position.
@@ -263,15 +290,36 @@
         if limit_reports.is_empty() {
             return;
         }
+        let rows: Vec<LimitDoc> = limit_reports.into_iter().map(LimitDoc::from).collect();
+        let limits = |relay, rows| Datagram::Limits { relay, rows };
         let (near, relays) = self.report_targets(now, false);
-        self.send_limit_reports(&limit_reports, false, &near).await;
-        self.send_limit_reports(&limit_reports, true, &relays).await;
+        self.send_rows(&rows, &near, |rows| limits(false, rows)).await;
+        self.send_rows(&rows, &relays, |rows| limits(true, rows)).await;
+    }
+
+    /// Tells other nodes the servers that have ended while they ran a request since the last call.
+    async fn send_crashes(&self) {
+        let now = self.shared.now();
+        let crash_reports = self.shared.fleet().crash_records.take_reports(now);
+        if crash_reports.is_empty() {
+            return;
+        }
+        let rows: Vec<CrashDoc> = crash_reports.into_iter().map(CrashDoc::from).collect();
+        let crashes = |relay, rows| Datagram::Crashes { relay, rows };
+        let (near, relays) = self.report_targets(now, true);
+        self.send_rows(&rows, &near, |rows| crashes(false, rows)).await;
+        self.send_rows(&rows, &relays, |rows| crashes(true, rows)).await;
     }
 
-    async fn send_limit_reports(&self, reports: &[LimitReport], relay: bool, to: &[SocketAddr]) {
-        for chunk in reports.chunks(MAX_LIMITS) {
-            let rows = chunk.iter().copied().map(LimitDoc::from).collect();
-            self.send(&Datagram::Limits { relay, rows }, to).await;
+    /// Sends rows in as many datagrams as they need.
+    async fn send_rows<T: Copy>(
+        &self,
+        rows: &[T],
+        to: &[SocketAddr],
+        datagram: impl Fn(Vec<T>) -> Datagram,
+    ) {
+        for chunk in rows.chunks(MAX_SERVER_ROWS) {
+            self.send(&datagram(chunk.to_vec()), to).await;
         }
     }
 
@@ -285,8 +333,9 @@
         self.check_suspension();
         let (due, live_nodes) = {
             let mut fleet = self.shared.fleet();
-            let Fleet { peers, rng, registry, .. } = &mut *fleet;
+            let Fleet { peers, rng, registry, crash_records, .. } = &mut *fleet;
             registry.tick(now);
+            crash_records.tick(now);
             registry.set_nodes(now, peers.node_counts(now));
             (peers.take_due(now, rng), peers.live_count(now))
         };
@@ -303,6 +352,7 @@
             self.send_report(false).await;
         }
         self.send_limits().await;
+        self.send_crashes().await;
         if now.since(self.last_relayed) >= REPORT_INTERVAL {
             self.send_relayed().await;
         }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -3,7 +3,10 @@
 use crate::{outgoing::OutgoingRequest, pool::ServerConnection, shared::Shared};
 use rand::Rng;
 use redwingtrestle_core::{
-    process::{health_estimate::Observation, registration::ServerId, start_marks::ServerStart},
+    process::{
+        crash_records::CrashReport, health_estimate::Observation, registration::ServerId,
+        start_marks::ServerStart,
+    },
     request::fingerprint::Fingerprint,
     time::{Span, Timestamp},
 };
@@ -133,9 +136,8 @@
             let has_ended = ServerConnection::connect(start.addr())
                 .await
                 .is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused);
-            if has_ended && shared.fleet().registry.is_in_service(&start) {
-                log::info!(target: "servers", server = start.id.as_str(), attempt = &*attempt,
-                    fingerprint:% = fingerprint; "a server ended while it ran a request");
+            if has_ended {
+                record_crash(&shared, &start, &attempt, fingerprint);
             }
         });
     }
@@ -175,6 +177,22 @@
     }
 }
 
+/// Records that a server in service ended while it ran a request, and tells the other nodes at once.
+fn record_crash(shared: &Shared, start: &ServerStart, attempt: &str, fingerprint: Fingerprint) {
+    let blocked = {
+        let mut fleet = shared.fleet();
+        if !fleet.registry.is_in_service(start) {
+            return;
+        }
+        let (tag, started) = (start.id.tag(), start.started());
+        let report = CrashReport { fingerprint, tag, started, age: Span::ZERO };
+        fleet.crash_records.record(shared.now(), &report, true)
+    };
+    log::info!(target: "servers", server = start.id.as_str(), attempt, fingerprint:% = fingerprint,
+        blocked_ms = blocked.map(Span::as_millis); "a server ended while it ran a request");
+    shared.report_now.notify_one();
+}
+
 /// The way back to the pool for a connection to one server.
 #[derive(Debug)]
 pub struct ConnectionReturn {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -19,6 +19,7 @@
     codes::{Outcome, ResultCode},
     ids::ServiceName,
     process::server_pause,
+    request::fingerprint::Fingerprint,
     time::{Span, Timestamp},
     version::routing_config::{RepeatPolicy, RoutingConfig},
 };
@@ -47,10 +48,10 @@
         .into();
     busy.set_attempt(&attempt);
     let is_head = request.method() == Method::HEAD;
-    let mut service = None;
+    let mut target = None;
     let result = match prepare(&shared, request, started_at, &attempt).await {
         Ok((routed, body)) => {
-            service = Some(routed.outgoing.service.clone());
+            target = Some((routed.outgoing.service.clone(), routed.outgoing.fingerprint));
             forward_or_detach(&shared, routed, body).await
         }
         Err(code) => {
@@ -69,8 +70,11 @@
             reply::from_server(status, headers, body, is_head)
         }
         RequestResult::Failure(code) => {
-            let wait = (code.outcome() == Outcome::NotRun && code.status() == 503)
-                .then(|| retry_after(&shared, service.as_ref()));
+            let wait =
+                (code.outcome() == Outcome::NotRun && code.status() == 503).then(|| match target {
+                    Some((service, fingerprint)) => retry_after(&shared, &service, fingerprint),
+                    None => RETRY_AFTER,
+                });
             reply::refusal(code, wait)
         }
     };
@@ -80,15 +84,17 @@
     response.map(|body| body.with_guards(busy, open_guard))
 }
 
-/// Returns what a refused caller is told to wait. While all servers of the service pause, or none may get a request
-/// within the limit that it names, an earlier return is in vain.
-fn retry_after(shared: &Shared, service: Option<&ServiceName>) -> Span {
-    let mut fleet = shared.fleet();
+/// Returns what a refused caller is told to wait. While the request is blocked, all servers of the service pause, or none
+/// may get a request within the limit that it names, an earlier return is in vain.
+fn retry_after(shared: &Shared, service: &ServiceName, fingerprint: Fingerprint) -> Span {
     let now = shared.now();
-    let left = service.and_then(|service| {
-        let registry = &fleet.registry;
-        registry.pause_left(now, service).or_else(|| registry.limit_wait(now, service, true))
-    });
+    let mut fleet = shared.fleet();
+    if let Some(left) = fleet.crash_records.block_left(now, fingerprint) {
+        return left;
+    }
+    let registry = &fleet.registry;
+    let left =
+        registry.pause_left(now, service).or_else(|| registry.limit_wait(now, service, true));
     left.map_or(RETRY_AFTER, |left| server_pause::retry_after(left, fleet.rng.random()))
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,6 +6,7 @@
 use redwingtrestle_core::{
     ids::{DataCentre, ServiceName},
     process::{
+        crash_records::CrashRecords,
         health_estimate::HealthOptions,
         peer_table::{NodeState, PeerTable, PeerTableOptions},
         picker::PickerOptions,
@@ -53,6 +54,8 @@
     pub registry: ServerRegistry,
     /// The other nodes.
     pub peers: PeerTable,
+    /// The requests under which servers ended.
+    pub crash_records: CrashRecords,
     /// The retry budgets by service.
     pub retry_budgets: HashMap<ServiceName, RetryBudget>,
     /// The watch of the registrations of servers.
@@ -145,6 +148,7 @@
         let fleet = Fleet {
             registry: ServerRegistry::new(RegistryOptions { health, ..RegistryOptions::default() }),
             peers: PeerTable::new(PeerTableOptions::default(), settings.peer, data_centre.clone()),
+            crash_records: CrashRecords::default(),
             retry_budgets: HashMap::new(),
             server_watch: StreamWatch::default(),
             config_watch: StreamWatch::default(),
--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -28,6 +28,13 @@
 /// How long a server is away after its end.
 const AWAY_TIME: Duration = Duration::from_millis(600);
 
+/// The user agent of a caller whose requests end no server.
+pub(crate) const SAFE_AGENT: &str = "safe";
+
+fn is_deadly(head: &str) -> bool {
+    head.contains(DEADLY_PATH) && header(head, "user-agent") != SAFE_AGENT
+}
+
 /// `CrashingServer` counts how often the deadly request began to run.
 #[derive(Clone, Debug)]
 pub(crate) struct CrashingServer {
@@ -86,7 +93,7 @@
 
     async fn serve(&self, mut socket: TcpStream, ended: &watch::Sender<bool>) {
         while let Some(request) = read_request(&mut socket).await {
-            if request.head.contains(DEADLY_PATH) {
+            if is_deadly(&request.head) {
                 *self.runs.lock().unwrap() += 1;
                 tokio::time::sleep(RUN_TIME).await;
                 ended.send_replace(true);
--- a/crates/gateway/tests/crashing_request.rs
+++ b/crates/gateway/tests/crashing_request.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{
-    crashing::{CrashingServer, DEADLY_PATH},
+    crashing::{CrashingServer, DEADLY_PATH, SAFE_AGENT},
     get, header, routing_config, MemoryStore, TestGateway,
 };
 use redwingtrestle_gateway::store::{Record, Stream};
@@ -65,3 +65,43 @@
     let wait: f64 = header(&last.head, "retry-after").parse().expect("a number of seconds");
     assert_eq!((last.status, wait > 10.0), (503, true), "{last:?}");
 }
+
+/// Guards against blocking another caller's request of the same path.
+#[tokio::test]
+async fn same_path_of_another_caller_is_served() {
+    let (gateways, _servers) = fleet().await;
+    for number in 0..6 {
+        gateways[0].call(&get(DEADLY_PATH, &format!("deadly-{number}"))).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let blocked = gateways[1].call(&get(DEADLY_PATH, "deadly-again")).await;
+    assert!(String::from_utf8_lossy(&blocked.body).contains("crashes_servers"), "{blocked:?}");
+    let agent = format!("User-Agent: {SAFE_AGENT}\r\n\r\n");
+    let other = get(DEADLY_PATH, "other").replacen("\r\n\r\n", &format!("\r\n{agent}"), 1);
+    assert_eq!(gateways[1].call(&other).await.status, 200);
+}
+
+/// Guards against blocking a frequent request because it is often in flight at servers that end under another one.
+#[tokio::test]
+async fn frequent_request_beside_a_deadly_one_is_not_blocked() {
+    let (gateways, _servers) = fleet().await;
+    let frequent = async {
+        let mut blocked = 0;
+        for number in 0..150 {
+            let gateway = &gateways[number % gateways.len()];
+            let reply = gateway.call(&get("/free/frequent", &format!("frequent-{number}"))).await;
+            blocked += u32::from(String::from_utf8_lossy(&reply.body).contains("crashes_servers"));
+        }
+        blocked
+    };
+    let deadly = async {
+        for number in 0..12 {
+            // Each is a request of its own, so that servers go on ending.
+            let path = format!("{DEADLY_PATH}/{number}");
+            gateways[number % 3].call(&get(&path, &format!("deadly-{number}"))).await;
+            tokio::time::sleep(Duration::from_millis(150)).await;
+        }
+    };
+    let (blocked, ()) = tokio::join!(frequent, deadly);
+    assert_eq!(blocked, 0);
+}
