--- a/crates/node/tests/soak/events.rs
+++ b/crates/node/tests/soak/events.rs
@@ -59,6 +59,18 @@
     }
 }
 
+/// Returns entries of another writer that name no server to use.
+fn odd_entries() -> [String; 4] {
+    let entry = |port: &str, report: &str| {
+        format!(
+            r#"{{"address": "127.0.0.1:{port}", "info": {{"service": "orders", "zone": "a", "slots": 6}},
+            "status": {{"state": "ready", "seq": {report}}}}}"#
+        )
+    };
+    let nested = format!("{}{}", "[".repeat(20_000), "]".repeat(20_000));
+    [r#"{"status": 7}"#.into(), nested, entry("65616", "1"), entry("80", "1e400")]
+}
+
 impl SoakRun {
     /// Carries out an event and returns when its fault has ended.
     pub async fn run_event(&self, event: Event) {
@@ -81,8 +93,10 @@
                 self.add_server(service, None).await;
             }
             Event::CorruptRegistration => {
-                let id = ServerId("i-other".into());
-                self.store.write_raw(&id, b"{\"status\": 7}");
+                for (number, entry) in odd_entries().into_iter().enumerate() {
+                    let id = ServerId(format!("i-other-{number}").into());
+                    self.store.write_raw(&id, entry.as_bytes());
+                }
             }
             Event::KillNode => self.kill_node(self.random_node()).await,
             Event::PauseNode => self.pause_node(self.random_node()).await,
