--- a/crates/gateway/tests/server_limit.rs
+++ b/crates/gateway/tests/server_limit.rs
@@ -2,7 +2,15 @@
 
 mod common;
 
-use common::{get, Backend, Behaviour, TestGateway};
+use common::{
+    get, header, post,
+    scripted::{success, ScriptedServer, Step},
+    Backend, Behaviour, TestGateway,
+};
+use redwingtrestle_core::process::{
+    registration::{Registration, RegistrationState},
+    tracked_server::TrackedServer,
+};
 use std::time::{Duration, Instant};
 
 /// The limit that the server in need names, in requests per second.
@@ -88,3 +96,70 @@
     );
     assert!(most > 0, "the server gets no work");
 }
+
+/// Returns the limit that a gateway knows of a server.
+fn known_limit(gateway: &TestGateway, server: &Backend) -> Option<f64> {
+    gateway.shared.fleet().registry.server(&server.id).and_then(TrackedServer::limit)
+}
+
+/// Guards against a node that sends without a limit until its own response names one, or after another's no longer does.
+#[tokio::test]
+async fn nodes_learn_a_limit_and_its_end_from_each_other() {
+    let server = Backend::start("i-1", Behaviour::Limit(200, 300)).await;
+    let gateways = fleet(&[&server]).await;
+    assert_eq!(gateways[0].call(&get("/free/1", "r1")).await.status, 200);
+    for gateway in &gateways {
+        let knows = || known_limit(gateway, &server) == Some(30.0);
+        gateway.wait_until("the limit is known", knows).await;
+    }
+    server.set(Behaviour::Serve);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(gateways[0].call(&get("/free/1", "r2")).await.status, 200);
+    for gateway in &gateways {
+        let knows = || known_limit(gateway, &server).is_none();
+        gateway.wait_until("the end of the limit is known", knows).await;
+    }
+}
+
+/// Guards against a request that waits for a server whose limit leaves no room for long, and a caller told to return at once.
+#[tokio::test]
+async fn request_is_refused_at_once_while_limits_leave_no_room() {
+    let server = Backend::start("i-1", Behaviour::Limit(200, 2)).await;
+    let gateway = TestGateway::with_servers(&[&server]).await;
+    assert_eq!(gateway.call(&get("/free/1", "r1")).await.status, 200);
+    let mut reply = gateway.call(&get("/free/1", "r2")).await;
+    if reply.status == 200 {
+        // A node may begin with a part of a request.
+        reply = gateway.call(&get("/free/1", "r3")).await;
+    }
+    assert_eq!(reply.status, 503);
+    assert!(reply.elapsed < Duration::from_millis(300), "{:?}", reply.elapsed);
+    let wait: f64 = header(&reply.head, "retry-after").parse().expect("a number of seconds");
+    assert!((0.5..=6.0).contains(&wait), "{wait}");
+}
+
+/// Guards against taking a limit from a response of another attempt, or a value that is no number for the end of one.
+#[tokio::test]
+async fn limit_counts_only_from_a_readable_header_of_the_own_response() {
+    let server = ScriptedServer::start("i-1", |turn| {
+        let limit = if turn.id == "r2" { "many" } else { "30" };
+        let id = if turn.id == "r3" { "another" } else { turn.id.as_str() };
+        let named =
+            if turn.id == "r3" { String::new() } else { format!("redwing-limit: {limit}\r\n") };
+        let response =
+            success(id, "ok").replacen("content-length", &format!("{named}content-length"), 1);
+        vec![Step::Run, Step::text(response)]
+    })
+    .await;
+    let gateway = TestGateway::with_servers(&[]).await;
+    let other = Backend::start("i-1", Behaviour::Serve).await;
+    let registration = other.registration(RegistrationState::Ready, 1);
+    gateway.store.register(Registration { addr: server.addr, ..registration });
+    let is_known = || gateway.shared.fleet().registry.server(&server.id).is_some();
+    gateway.wait_until("the server is known", is_known).await;
+    for id in ["r1", "r2", "r3"] {
+        gateway.call(&post(id)).await;
+        assert_eq!(known_limit(&gateway, &other), Some(30.0), "after {id}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
