Count ends of servers in quick succession as several faults

A request that comes often ends servers so fast that each end was within 40 ms of the one before, and all of them counted as one fault: with one end each 5 ms a request was never blocked (request_that_ends_servers_in_quick_succession_is_blocked, 'one end each 5 ms'). A fault now lasts 40 ms from its beginning.

--- a/crates/core/src/process/crash_records.rs
+++ b/crates/core/src/process/crash_records.rs
@@ -15,8 +15,11 @@
 /// A request is first blocked for this long after the newest end of a server. Each further one doubles the time.
 const FIRST_BLOCK: Span = Span::from_secs(60);
 
-/// The most crashes of a request that are kept. They also bound the time of a block to 32 min.
-const MAX_CRASHES: usize = CRASHES_TO_BLOCK + 5;
+/// The most faults of a request that are counted. They bound the time of a block to 32 min.
+const MAX_FAULTS: usize = CRASHES_TO_BLOCK + 5;
+
+/// The most crashes of a request that are kept, to count each once and to tell other nodes.
+const MAX_CRASHES: usize = 32;
 
 /// Servers that end within this time of each other count once. A fault of their common machine or link ends them together,
 /// while a request is sent to the next server only after it was lost at the one before.
@@ -60,8 +63,10 @@
 
 #[derive(Clone, Debug, Default)]
 struct SuspectRequest {
-    /// The ends of servers, by time.
+    /// The newest ends of servers, by time.
     crashes: Vec<Crash>,
+    /// The beginnings of the newest faults, by time. All ends within [`COMMON_FAULT`] of one belong to it.
+    faults: Vec<Timestamp>,
     last_shared: Option<Timestamp>,
 }
 
@@ -75,25 +80,22 @@
 }
 
 impl SuspectRequest {
-    /// Returns the number of faults that ended servers: those that ended together count once.
-    fn faults(&self) -> usize {
-        let gaps = self.crashes.windows(2).map(|pair| pair[1].at.since(pair[0].at));
-        usize::from(!self.crashes.is_empty()) + gaps.filter(|gap| *gap > COMMON_FAULT).count()
-    }
-
     fn newest(&self) -> Timestamp {
         self.crashes.last().map_or(Timestamp::ZERO, |crash| crash.at)
     }
 
+    fn was_blocked(&self) -> bool {
+        self.faults.len() >= CRASHES_TO_BLOCK
+    }
+
     /// Returns the end of the block, if the request was ever blocked.
     fn blocked_until(&self) -> Option<Timestamp> {
-        let beyond = self.faults().checked_sub(CRASHES_TO_BLOCK)?;
+        let beyond = self.faults.len().checked_sub(CRASHES_TO_BLOCK)?;
         Some(self.newest() + FIRST_BLOCK.times(1 << beyond))
     }
 
     fn is_kept(&self, now: Timestamp) -> bool {
-        let was_blocked = self.faults() >= CRASHES_TO_BLOCK;
-        let retention = if was_blocked { BLOCKED_RETENTION } else { SUSPECT_RETENTION };
+        let retention = if self.was_blocked() { BLOCKED_RETENTION } else { SUSPECT_RETENTION };
         now.since(self.newest()) <= retention
     }
 
@@ -103,15 +105,25 @@
         if self.crashes.iter().any(is_same) {
             return false;
         }
-        self.crashes.push(crash);
-        self.crashes.sort_by_key(|c| c.at);
-        if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
+        insert_by_time(&mut self.crashes, crash, |c| c.at, MAX_CRASHES);
+        let belongs =
+            |fault: &Timestamp| *fault <= crash.at && crash.at.since(*fault) <= COMMON_FAULT;
+        if !self.faults.iter().any(belongs) {
+            insert_by_time(&mut self.faults, crash.at, |at| *at, MAX_FAULTS);
         }
         true
     }
 }
 
+/// Adds an entry to a list that is sorted by time, and drops the oldest if there are more than `most`.
+fn insert_by_time<T>(list: &mut Vec<T>, entry: T, time: impl Fn(&T) -> Timestamp, most: usize) {
+    list.push(entry);
+    list.sort_by_key(&time);
+    if list.len() > most {
+        list.remove(0);
+    }
+}
+
 impl CrashRecords {
     /// Records that a server ended under a request of this node or, by its report, of another one. Returns the time for
     /// which the request is blocked, if this extends it.
@@ -141,8 +153,7 @@
         if self.suspects.len() < MAX_REQUESTS {
             return;
         }
-        let oldest =
-            self.suspects.iter().min_by_key(|(_, s)| (s.faults() >= CRASHES_TO_BLOCK, s.newest()));
+        let oldest = self.suspects.iter().min_by_key(|(_, s)| (s.was_blocked(), s.newest()));
         if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
             self.suspects.remove(&fingerprint);
         }
--- a/crates/core/tests/crash_records.rs
+++ b/crates/core/tests/crash_records.rs
@@ -44,6 +44,15 @@
     assert!(!is_blocked(&records(&[0, 10, 20, 30]), 100));
 }
 
+/// Guards against a request that is not blocked because it comes so often that servers end all the time.
+#[test]
+fn request_that_ends_servers_in_quick_succession_is_blocked() {
+    for gap in [5, 10, 20, 39] {
+        let times: Vec<u64> = (0..30).map(|number| number * gap).collect();
+        assert!(is_blocked(&records(&times), 30 * gap), "one end each {gap} ms");
+    }
+}
+
 /// Guards against counting one server for each node that lost the request there.
 #[test]
 fn one_start_of_a_server_counts_once() {
