Move the fingerprint of requests to the types that live as long as the process

It connects attempts and is kept by crash_records, so it outlives a request. A module refers only to ones that live longer (docs/design.md, section 2). Nothing but the place of the code has changed.

--- a/crates/core/src/process/crash_records.rs
+++ b/crates/core/src/process/crash_records.rs
@@ -4,7 +4,7 @@
 //! blamed only after several servers have ended under it one after the other, and was not served meanwhile ([docs/platform.md](../../../../docs/platform.md)).
 
 use crate::{
-    request::fingerprint::Fingerprint,
+    process::fingerprint::Fingerprint,
     time::{Span, Timestamp},
 };
 use std::collections::{HashMap, HashSet, VecDeque};
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -9,6 +9,7 @@
 pub mod ejections;
 pub mod evidence;
 pub mod fan_out;
+pub mod fingerprint;
 pub mod health_estimate;
 pub mod heartbeat;
 pub mod latency;
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -1,7 +1,6 @@
 //! Types with the lifetime of a request, and the idempotency records of its key.
 
 pub mod deadline;
-pub mod fingerprint;
 pub mod handover;
 pub mod idempotency_store;
 pub mod key;
--- a/crates/core/tests/crash_records.rs
+++ b/crates/core/tests/crash_records.rs
@@ -1,8 +1,10 @@
 //! Requests under which servers ended, on virtual time.
 
 use redwingtrestle_core::{
-    process::crash_records::{CrashRecords, CrashReport},
-    request::fingerprint::Fingerprint,
+    process::{
+        crash_records::{CrashRecords, CrashReport},
+        fingerprint::Fingerprint,
+    },
     time::{Span, Timestamp},
 };
 
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -3,12 +3,12 @@
 use redwingtrestle_core::{
     process::{
         crash_records::CrashReport,
+        fingerprint::Fingerprint,
         peer_table::NodeState,
         server_limit::LimitReport,
         service_outcomes::OutcomeCounts,
         tracked_server::{Counts, ServerReport},
     },
-    request::fingerprint::Fingerprint,
     time::Span,
 };
 use serde::{Deserialize, Serialize};
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -4,10 +4,9 @@
 use rand::Rng;
 use redwingtrestle_core::{
     process::{
-        crash_records::CrashReport, health_estimate::Observation, registration::ServerId,
-        start_marks::ServerStart,
+        crash_records::CrashReport, fingerprint::Fingerprint, health_estimate::Observation,
+        registration::ServerId, start_marks::ServerStart,
     },
-    request::fingerprint::Fingerprint,
     time::{Span, Timestamp},
 };
 use std::{io, sync::Arc, time::Duration};
--- a/crates/gateway/src/outgoing.rs
+++ b/crates/gateway/src/outgoing.rs
@@ -9,7 +9,7 @@
     http::request::Parts,
     Method, Uri,
 };
-use redwingtrestle_core::{codes::ResultCode, ids::ServiceName, request::fingerprint::Fingerprint};
+use redwingtrestle_core::{codes::ResultCode, ids::ServiceName, process::fingerprint::Fingerprint};
 use std::{
     io,
     pin::Pin,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -18,8 +18,7 @@
 use redwingtrestle_core::{
     codes::{Outcome, ResultCode},
     ids::ServiceName,
-    process::server_pause,
-    request::fingerprint::Fingerprint,
+    process::{fingerprint::Fingerprint, server_pause},
     time::{Span, Timestamp},
     version::routing_config::{RepeatPolicy, RoutingConfig},
 };
