Count no refused request for another server as new work for a leaving one

Requests that get 421 are no new work by the rule, so the check passes over them now, and over nothing else.

--- a/crates/node/tests/soak/checks.rs
+++ b/crates/node/tests/soak/checks.rs
@@ -56,7 +56,9 @@
     let mut found: Vec<String> = record
         .unsent_arrivals()
         .iter()
-        .map(|id| format!("{id} reached a server, but no caller sent it"))
+        .map(|(id, arrivals)| {
+            format!("{id:?} reached a server, but no caller sent it: {arrivals:?}")
+        })
         .collect();
     let requests = record.requests();
     found.extend(reached_after_leaving(record, &requests));
@@ -256,7 +258,8 @@
     }
     let mut found = Vec::new();
     for (id, request, arrivals) in requests {
-        for arrival in arrivals {
+        // A server refuses a request for another one, whose address it has got, without running it.
+        for arrival in arrivals.iter().filter(|arrival| !arrival.is_misdirected) {
             let Some(at) = known.get(&(request.node, &*arrival.server)) else { continue };
             let is_late = request.sent > *at + LEAVING_BOUND;
             let node = [Component::Node(request.node)];
--- a/crates/node/tests/soak/record.rs
+++ b/crates/node/tests/soak/record.rs
@@ -48,6 +48,8 @@
     pub body: Vec<u8>,
     /// Whether the server started to run the request.
     pub was_run: bool,
+    /// Whether the request was for another server, so that this one refused it.
+    pub is_misdirected: bool,
     /// The status and signature of the response; `None` without a complete response.
     pub response: Option<(u16, String)>,
     /// Whether the response says that the server leaves.
@@ -166,9 +168,10 @@
             .collect()
     }
 
-    /// Returns the ids of requests that arrived although no caller sent them.
-    pub fn unsent_arrivals(&self) -> Vec<String> {
+    /// Returns the arrivals of requests that no caller sent, with their ids.
+    pub fn unsent_arrivals(&self) -> Vec<(String, Vec<Arrival>)> {
         let inner = self.lock();
-        inner.arrivals.keys().filter(|id| !inner.requests.contains_key(*id)).cloned().collect()
+        let unsent = inner.arrivals.iter().filter(|(id, _)| !inner.requests.contains_key(*id));
+        unsent.map(|(id, arrivals)| (id.clone(), arrivals.clone())).collect()
     }
 }
--- a/crates/node/tests/soak/server.rs
+++ b/crates/node/tests/soak/server.rs
@@ -214,6 +214,7 @@
             path: request.path.clone(),
             body: request.body.clone(),
             was_run,
+            is_misdirected: !is_for_this_server,
             response: None,
             says_leaving,
             pause: asks_for_pause.then_some(PAUSE),
