Send what servers said to other nodes by one function

The fan-out to near nodes and relays stood once for limits and once for crashes, and differed in its rows only. Behaviour is unchanged.

--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -84,6 +84,15 @@
     }
 }
 
+impl Sub<Span> for Timestamp {
+    type Output = Timestamp;
+
+    /// Returns the point `span` earlier, or the origin of the clock if that is later.
+    fn sub(self, span: Span) -> Timestamp {
+        Timestamp(self.0.saturating_sub(span.0))
+    }
+}
+
 impl Add for Span {
     type Output = Span;
 
--- a/crates/gateway/src/gossip/mod.rs
+++ b/crates/gateway/src/gossip/mod.rs
@@ -285,30 +285,32 @@
 
     /// Tells other nodes the limits that this node's responses have named since the last call.
     async fn send_limits(&self) {
-        let now = self.shared.now();
-        let limit_reports = self.shared.fleet().registry.take_limit_reports(now);
-        if limit_reports.is_empty() {
-            return;
-        }
-        let rows: Vec<LimitDoc> = limit_reports.into_iter().map(LimitDoc::from).collect();
-        let limits = |relay, rows| Datagram::Limits { relay, rows };
-        let (near, relays) = self.report_targets(now, false);
-        self.send_rows(&rows, &near, |rows| limits(false, rows)).await;
-        self.send_rows(&rows, &relays, |rows| limits(true, rows)).await;
+        let reports = self.shared.fleet().registry.take_limit_reports(self.shared.now());
+        let rows: Vec<LimitDoc> = reports.into_iter().map(LimitDoc::from).collect();
+        self.tell_fleet(&rows, false, |relay, rows| Datagram::Limits { relay, rows }).await;
     }
 
     /// Tells other nodes the servers that have ended while they ran a request since the last call.
     async fn send_crashes(&self) {
-        let now = self.shared.now();
-        let crash_reports = self.shared.fleet().crash_records.take_reports(now);
-        if crash_reports.is_empty() {
+        let reports = self.shared.fleet().crash_records.take_reports(self.shared.now());
+        let rows: Vec<CrashDoc> = reports.into_iter().map(CrashDoc::from).collect();
+        self.tell_fleet(&rows, true, |relay, rows| Datagram::Crashes { relay, rows }).await;
+    }
+
+    /// Sends rows to the nodes that get a report, see [`report_targets`](Self::report_targets). `datagram` gets whether
+    /// the receiver relays the rows in its own data centre.
+    async fn tell_fleet<T: Copy>(
+        &self,
+        rows: &[T],
+        is_failure: bool,
+        datagram: impl Fn(bool, Vec<T>) -> Datagram,
+    ) {
+        if rows.is_empty() {
             return;
         }
-        let rows: Vec<CrashDoc> = crash_reports.into_iter().map(CrashDoc::from).collect();
-        let crashes = |relay, rows| Datagram::Crashes { relay, rows };
-        let (near, relays) = self.report_targets(now, true);
-        self.send_rows(&rows, &near, |rows| crashes(false, rows)).await;
-        self.send_rows(&rows, &relays, |rows| crashes(true, rows)).await;
+        let (near, relays) = self.report_targets(self.shared.now(), is_failure);
+        self.send_rows(rows, &near, |rows| datagram(false, rows)).await;
+        self.send_rows(rows, &relays, |rows| datagram(true, rows)).await;
     }
 
     /// Sends rows in as many datagrams as they need.
