--- a/crates/core/src/process/server_limit.rs
+++ b/crates/core/src/process/server_limit.rs
@@ -127,11 +127,15 @@
         nodes: NodeCounts,
         draw: f64,
     ) -> Option<LimitChange> {
-        if at < self.observed || named.is_some_and(|limit| valid_limit(limit).is_none()) {
+        let named = match named {
+            Some(limit) => Some(valid_limit(limit)?),
+            None => None,
+        };
+        if at < self.observed {
             return None;
         }
         self.observed = at;
-        match (&mut self.budgets, named.and_then(valid_limit)) {
+        match (&mut self.budgets, named) {
             (None, Some(limit)) => {
                 self.budgets = Some(Budgets::new(now, limit, nodes, draw));
                 Some(LimitChange::Named)
@@ -176,10 +180,8 @@
     /// Sets the nodes among which the limit is divided.
     pub(super) fn set_nodes(&mut self, now: Timestamp, nodes: NodeCounts) {
         let Some(budgets) = &mut self.budgets else { return };
-        if budgets.nodes != nodes {
-            budgets.settle(now);
-            budgets.nodes = nodes;
-        }
+        budgets.settle(now);
+        budgets.nodes = nodes;
     }
 
     /// Counts a request that this node sends.
--- a/crates/core/src/process/server_registry/limits.rs
+++ b/crates/core/src/process/server_registry/limits.rs
@@ -45,7 +45,7 @@
         if server.registration.started != report.started {
             return None;
         }
-        let at = Timestamp::ZERO + (now.since(Timestamp::ZERO) - report.age);
+        let at = now - report.age;
         let change = server.limit.observe(now, at, report.limit, self.nodes, draw);
         server.limit.record_shared(now);
         change.map(|change| (id.clone(), change))
@@ -72,6 +72,9 @@
 
     /// Sets the nodes among which limits are divided.
     pub fn set_nodes(&mut self, now: Timestamp, nodes: NodeCounts) {
+        if nodes == self.nodes {
+            return;
+        }
         self.nodes = nodes;
         self.servers.values_mut().for_each(|server| server.limit.set_nodes(now, nodes));
     }
