--- a/crates/core/src/process/crash_records.rs
+++ b/crates/core/src/process/crash_records.rs
@@ -1,7 +1,8 @@
 //! The requests under which servers ended, and which of them are blocked for that.
 //!
 //! A server that ends takes all requests with it that it runs, and only one of them may be the cause. So a request is
-//! blamed only after several servers have ended under it one after the other, and was not served meanwhile ([docs/platform.md](../../../../docs/platform.md)).
+//! blamed only after several servers have ended under it one after the other, and was not served meanwhile
+//! ([docs/platform.md](../../../../docs/platform.md)).
 
 use crate::{
     process::fingerprint::Fingerprint,
@@ -133,7 +134,7 @@
         if self.served.remove(&fingerprint) {
             return None;
         }
-        let at = Timestamp::ZERO + (now.since(Timestamp::ZERO) - age);
+        let at = now - age;
         if !self.suspects.contains_key(&fingerprint) {
             self.make_room();
         }
@@ -167,8 +168,9 @@
         }
         self.served_order.push_back(fingerprint);
         if self.served_order.len() > MAX_SERVED {
-            let oldest = self.served_order.pop_front();
-            oldest.map(|oldest| self.served.remove(&oldest));
+            if let Some(oldest) = self.served_order.pop_front() {
+                self.served.remove(&oldest);
+            }
         }
     }
 
--- a/crates/gateway/tests/common/backend.rs
+++ b/crates/gateway/tests/common/backend.rs
@@ -67,17 +67,27 @@
 
     /// Returns the registration of the server.
     pub(crate) fn registration(&self, state: RegistrationState, report: u64) -> Registration {
-        Registration {
-            id: self.id.clone(),
-            addr: self.addr,
-            service: "orders".into(),
-            zone: "a".into(),
-            slots: 6,
-            state,
-            warmup: Span::ZERO,
-            started: 1,
-            report,
-        }
+        registration(&self.id, self.addr, state, report)
+    }
+}
+
+/// Returns the registration of the first start of a server of the service `orders`.
+pub(crate) fn registration(
+    id: &ServerId,
+    addr: SocketAddr,
+    state: RegistrationState,
+    report: u64,
+) -> Registration {
+    Registration {
+        id: id.clone(),
+        addr,
+        service: "orders".into(),
+        zone: "a".into(),
+        slots: 6,
+        state,
+        warmup: Span::ZERO,
+        started: 1,
+        report,
     }
 }
 
--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -1,10 +1,7 @@
 //! Backend servers that end when they run one certain request, and are back after a while.
 
-use super::{header, read_request, MemoryStore};
-use redwingtrestle_core::{
-    process::registration::{Registration, RegistrationState, ServerId},
-    time::Span,
-};
+use super::{backend::registration, header, read_request, MemoryStore};
+use redwingtrestle_core::process::registration::{Registration, RegistrationState, ServerId};
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -109,16 +106,7 @@
     }
 
     fn registration(&self, started: u64) -> Registration {
-        Registration {
-            id: self.id.clone(),
-            addr: self.addr,
-            service: "orders".into(),
-            zone: "a".into(),
-            slots: 6,
-            state: RegistrationState::Ready,
-            warmup: Span::ZERO,
-            started,
-            report: 1,
-        }
+        let first = registration(&self.id, self.addr, RegistrationState::Ready, 1);
+        Registration { started, ..first }
     }
 }
