Keep a served request's standing until it is the oldest one

What callers saw: nothing yet. By reading: a request that was served, then lost at a server that ended, then served again, could be blamed for the next ends of servers and get 503 for a minute although it is innocent.

Cause: a request that was forgiven left its place in the queue of served requests. When that old place came to the front, the request lost its standing, whenever it was served again.

Change: ServedRequests numbers each service, so that a request has one place, and each service makes it the newest.

The test failed before: request_that_is_served_again_keeps_its_standing was blocked after two ends of servers that count.

--- a/crates/core/src/process/crash_records.rs
+++ b/crates/core/src/process/crash_records.rs
@@ -5,10 +5,10 @@
 //! ([docs/platform.md](../../../../docs/platform.md)).
 
 use crate::{
-    process::fingerprint::Fingerprint,
+    process::{fingerprint::Fingerprint, served_requests::ServedRequests},
     time::{Span, Timestamp},
 };
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet};
 
 /// A request is blocked once this many servers have ended under it.
 const CRASHES_TO_BLOCK: usize = 3;
@@ -36,9 +36,6 @@
 /// The most requests that are kept.
 const MAX_REQUESTS: usize = 1_024;
 
-/// The most served requests that are remembered.
-const MAX_SERVED: usize = 4_096;
-
 /// What a node knows of a request is repeated to others at most this often.
 const REPEAT_INTERVAL: Span = Span::from_secs(1);
 
@@ -76,8 +73,7 @@
 pub struct CrashRecords {
     suspects: HashMap<Fingerprint, SuspectRequest>,
     unreported: HashSet<Fingerprint>,
-    served: HashSet<Fingerprint>,
-    served_order: VecDeque<Fingerprint>,
+    served: ServedRequests,
 }
 
 impl SuspectRequest {
@@ -131,7 +127,7 @@
     pub fn record(&mut self, now: Timestamp, report: &CrashReport, is_own: bool) -> Option<Span> {
         let CrashReport { fingerprint, tag, started, age } = *report;
         // A request that was served since the last end of a server under it is not suspected for this one.
-        if self.served.remove(&fingerprint) {
+        if self.served.remove(fingerprint) {
             return None;
         }
         let at = now - age;
@@ -163,15 +159,7 @@
     /// Records that a server served a request, so that it is not the cause of an end.
     pub fn record_served(&mut self, fingerprint: Fingerprint) {
         self.suspects.remove(&fingerprint);
-        if !self.served.insert(fingerprint) {
-            return;
-        }
-        self.served_order.push_back(fingerprint);
-        if self.served_order.len() > MAX_SERVED {
-            if let Some(oldest) = self.served_order.pop_front() {
-                self.served.remove(&oldest);
-            }
-        }
+        self.served.add(fingerprint);
     }
 
     /// Returns how long a request is still blocked, if it is.
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -25,6 +25,7 @@
 mod relayable_changes;
 pub mod rendezvous;
 pub mod response_proof;
+mod served_requests;
 pub mod server_limit;
 pub mod server_pause;
 pub mod server_registry;
--- a/crates/core/tests/crash_records.rs
+++ b/crates/core/tests/crash_records.rs
@@ -81,6 +81,25 @@
     assert!(is_blocked(&records, 1_100));
 }
 
+/// Guards against a request that counts as served for less time because it was served before as well.
+#[test]
+fn request_that_is_served_again_keeps_its_standing() {
+    let mut records = CrashRecords::default();
+    records.record_served(REQUEST);
+    records.record(at(0), &crash(REQUEST, 1, 1), true);
+    for number in 0..4_000 {
+        records.record_served(Fingerprint(1_000 + number));
+    }
+    records.record_served(REQUEST);
+    for number in 4_000..4_200 {
+        records.record_served(Fingerprint(1_000 + number));
+    }
+    for (tag, millis) in [(2, 200), (3, 400), (4, 600)] {
+        records.record(at(millis), &crash(REQUEST, tag, 1), true);
+    }
+    assert!(!is_blocked(&records, 700));
+}
+
 /// Guards against a block without end, and against one that lets a request end three more servers each time it is over.
 #[test]
 fn block_ends_and_the_next_server_renews_it_for_longer() {
