Start no process of the node tests while a port is checked

Cause: free_port binds a socket to find out whether a port is free, and closes it. A process that another test starts meanwhile has a copy of that socket until its program runs, so the port stays in use for that long.

Change: free_port and the starts of processes exclude each other (spawn_command). The link of that test takes any port, as it needs no check.

Ruled out: outgoing connections, as the ports are below the ephemeral range; two tests with one port, as a counter numbers them.

--- a/crates/node/tests/carriers.rs
+++ b/crates/node/tests/carriers.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{wait_for, Fleet, Load};
+use common::{spawn_command, wait_for, Fleet, Load};
 use futures_util::future::join_all;
 use redwingtrestle_fakes::{
     backend::{Backend, BackendOptions},
@@ -14,6 +14,7 @@
 use std::{
     collections::BTreeSet,
     net::SocketAddr,
+    process::Command,
     time::{Duration, Instant},
 };
 
@@ -171,7 +172,7 @@
     let kill = async {
         let is_running = || keys[..12].iter().any(|k| fleet.runs(k) > 0);
         wait_for("an order runs", || async { is_running().then_some(()) }).await;
-        std::process::Command::new("kill").args(["-KILL", &killed_pid]).status().expect("kill runs")
+        spawn_command(Command::new("kill").args(["-KILL", &killed_pid])).wait().expect("kill ends")
     };
     let (outcomes, _) = tokio::join!(join_all(copies), kill);
     let start = Instant::now();
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -57,11 +57,16 @@
 
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
+/// Held while a process starts and while sockets are open that must be free after they are closed. A process has copies
+/// of all sockets of this one until its program runs.
+static PROCESS_START: Mutex<()> = Mutex::new(());
+
 /// Returns a port that is free for TCP and UDP on `ip`.
 ///
 /// The ports are below the ephemeral range. Otherwise an outgoing connection could take one before the node
 /// binds it.
 pub fn free_port(ip: &str) -> u16 {
+    let _no_start = PROCESS_START.lock().unwrap_or_else(PoisonError::into_inner);
     let first_offset = (std::process::id() % 500) as u16 * 40;
     for _ in 0..2000 {
         let port = 11_000 + (first_offset + NEXT_PORT.fetch_add(1, Ordering::SeqCst)) % 20_000;
@@ -72,6 +77,12 @@
     panic!("no free port");
 }
 
+/// Starts a process. All processes of the tests start through this function, see [`PROCESS_START`].
+pub fn spawn_command(command: &mut Command) -> Child {
+    let _start = PROCESS_START.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn().expect("the process starts")
+}
+
 /// A running `redwingd` process, which is killed on drop.
 #[derive(Debug)]
 pub struct NodeProcess {
@@ -86,8 +97,8 @@
     /// Sends a signal by name, such as `STOP`.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let status = Command::new("kill").args([&format!("-{name}"), &pid]).status();
-        assert!(status.expect("kill runs").success(), "kill -{name} {pid}");
+        let mut kill = spawn_command(Command::new("kill").args([&format!("-{name}"), &pid]));
+        assert!(kill.wait().expect("kill ends").success(), "kill -{name} {pid}");
     }
 
     /// Waits until the process has exited and returns whether its exit status is success.
@@ -299,16 +310,16 @@
     );
     fs::write(&settings, text).expect("the settings file is written");
     let log_file = fs::File::create(&log).expect("the log file is made");
-    let child = Command::new(env!("CARGO_BIN_EXE_redwingd"))
+    let mut command = Command::new(env!("CARGO_BIN_EXE_redwingd"));
+    command
         .args(["run", "--settings"])
         .arg(&settings)
         .env_remove("REDWING_TOKEN")
         .envs(token.map(|token| ("REDWING_TOKEN", token)))
         .stdin(Stdio::null())
         .stdout(Stdio::null())
-        .stderr(log_file)
-        .spawn()
-        .expect("redwingd starts");
+        .stderr(log_file);
+    let child = spawn_command(&mut command);
     NodeProcess { entry, peer, child, settings, log }
 }
 
--- a/crates/node/tests/faults.rs
+++ b/crates/node/tests/faults.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{
-    config, free_addresses, free_port, now_ms, publish, spawn, start_options, wait_for, Fleet,
-    Load, StartOptions,
+    config, free_addresses, now_ms, publish, spawn, start_options, wait_for, Fleet, Load,
+    StartOptions,
 };
 use redwingtrestle_fakes::{
     backend::{Backend, BackendOptions, Fault},
@@ -15,7 +15,7 @@
 use redwingtrestle_wire::{caller, config::ConfigDoc};
 use std::{
     collections::BTreeSet,
-    net::{IpAddr, SocketAddr},
+    net::IpAddr,
     time::{Duration, Instant},
 };
 
@@ -185,8 +185,8 @@
     let addrs: Vec<_> = (0..3).map(|_| free_addresses("127.0.0.1")).collect();
     let mut links = Vec::new();
     for (_, peer) in &addrs {
-        let at: SocketAddr = ([127, 0, 0, 1], free_port("127.0.0.1")).into();
-        links.push(DatagramLink::start(at, *peer).await.expect("the link starts"));
+        let any_port = ([127, 0, 0, 1], 0).into();
+        links.push(DatagramLink::start(any_port, *peer).await.expect("the link starts"));
     }
     let seeds = links.iter().map(DatagramLink::addr).collect();
     let base = StartOptions { seeds, ..start_options(&log, &addrs, "") };
