--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -48,7 +48,7 @@
             tokio::spawn(async move {
                 while !done.load(Ordering::SeqCst) {
                     let response = client.get(&url).send().await.expect("a response");
-                    assert_eq!(response.status(), 200);
+                    assert_eq!(response.status(), 200, "{response:?}");
                 }
             })
         };
