--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -1,6 +1,6 @@
 //! Backend servers that end when they run one certain request, and are back after a while.
 
-use super::{backend::registration, header, read_request, MemoryStore};
+use super::{backend::registration, gateway::own_loopback_ip, header, read_request, MemoryStore};
 use redwingtrestle_core::process::registration::{Registration, RegistrationState, ServerId};
 use std::{
     net::SocketAddr,
@@ -43,7 +43,7 @@
 impl CrashingServer {
     /// Starts a server that registers itself in these stores at each of its starts.
     pub(crate) async fn start(name: &str, stores: Vec<MemoryStore>) -> CrashingServer {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let listener = TcpListener::bind((own_loopback_ip(), 0)).await.unwrap();
         let addr = listener.local_addr().unwrap();
         let server = CrashingServer { id: ServerId(name.into()), addr, runs: Arc::default() };
         tokio::spawn(server.clone().run(listener, stores));
--- a/crates/gateway/tests/common/gateway.rs
+++ b/crates/gateway/tests/common/gateway.rs
@@ -142,16 +142,21 @@
     }
 }
 
-/// Returns distinct free addresses on a loopback address that only this gateway uses. On a shared one, a connection or a
-/// listener of another test could take a port between its choice here and its use.
+/// Returns distinct free addresses on a loopback address of their own.
 fn free_addrs<const COUNT: usize>() -> [SocketAddr; COUNT] {
-    static GATEWAYS: AtomicU8 = AtomicU8::new(2);
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let ip = Ipv4Addr::new(127, high, low, GATEWAYS.fetch_add(1, Ordering::SeqCst));
+    let ip = own_loopback_ip();
     let listeners = [(); COUNT].map(|()| StdListener::bind((ip, 0)).unwrap());
     listeners.each_ref().map(|listener| listener.local_addr().unwrap())
 }
 
+/// Returns a loopback address that only its caller uses. On a shared one, a connection or a listener of another test could
+/// take a port between its choice and its use.
+pub(crate) fn own_loopback_ip() -> Ipv4Addr {
+    static USERS: AtomicU8 = AtomicU8::new(2);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, high, low, USERS.fetch_add(1, Ordering::SeqCst))
+}
+
 /// Binds the entry with small send buffers.
 fn bind_with_small_buffers(addr: SocketAddr) -> TcpListener {
     let socket = TcpSocket::new_v4().unwrap();
