Let servers of the soak name limits, and check that they are kept

The soak now has servers that name one for 9 s, beside its kills, pauses, planned stops, cut links and store faults, and counts what reaches them from nodes that had passed the limit on.

--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -9,6 +9,7 @@
     pub mod caller;
     pub mod checks;
     pub mod events;
+    pub mod limits;
     pub mod link;
     pub mod process;
     pub mod record;
--- a/crates/node/tests/soak/checks.rs
+++ b/crates/node/tests/soak/checks.rs
@@ -1,6 +1,7 @@
 //! Checks of the documented guarantees against what callers and backend servers observed.
 
 use super::{
+    limits::limits_exceeded,
     record::{Arrival, Component, Outcome, Record, SentRequest},
     server::response_body,
 };
@@ -63,6 +64,7 @@
     let requests = record.requests();
     found.extend(reached_after_leaving(record, &requests));
     found.extend(reached_in_pause(record, &requests));
+    found.extend(limits_exceeded(record, &requests));
     for (id, request, arrivals) in requests {
         let faults = [
             run_twice(&request, &arrivals),
@@ -241,7 +243,7 @@
 }
 
 /// A request with its id and its arrivals.
-type RecordedRequest = (String, SentRequest, Vec<Arrival>);
+pub type RecordedRequest = (String, SentRequest, Vec<Arrival>);
 
 /// A restart or a freeze of the node since it passed on the response excuses it.
 fn reached_after_leaving(record: &Record, requests: &[RecordedRequest]) -> Vec<String> {
--- a/crates/node/tests/soak/events.rs
+++ b/crates/node/tests/soak/events.rs
@@ -6,7 +6,7 @@
     process::STOP_MS,
     record::Component,
     run::{RunState, SoakRun},
-    server::Behaviour,
+    server::{Behaviour, Server},
 };
 use rand::{rngs::StdRng, seq::IteratorRandom, Rng};
 use redwingtrestle_core::process::registration::{RegistrationState, ServerId};
@@ -27,6 +27,10 @@
 /// A leaving server says so in its responses for so long before its registration does, in milliseconds.
 const UNREGISTERED_LEAVING_MS: std::ops::Range<u64> = 0..4_000;
 
+/// A server names a limit for this long, and the limit is one of these, in tenths of a request per second.
+const LIMIT_TIME: Duration = Duration::from_millis(9_000);
+const LIMIT_TENTHS: std::ops::Range<u32> = 10..60;
+
 /// A kind of change or fault. Planned changes come first. Seeds replay the same events only if the order stays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
 pub enum Event {
@@ -47,6 +51,7 @@
     ServerCrash,
     ReuseAddress,
     StoreComesBackOlder,
+    ServerNamesLimit,
 }
 
 impl Event {
@@ -118,6 +123,7 @@
             Event::ServerCrash => self.crash_server().await,
             Event::ReuseAddress => self.reuse_address().await,
             Event::StoreComesBackOlder => self.restore_store().await,
+            Event::ServerNamesLimit => self.limit_server().await,
         }
     }
 }
@@ -248,12 +254,8 @@
             LinkId::Store(node) => act(&state.nodes[*node].store),
             LinkId::Callers(node) => act(&state.nodes[*node].callers),
             LinkId::Server(id) => {
-                // A removed server has no link any more.
-                if let Some(server) =
-                    state.servers.iter().find(|s| s.registration.id.as_str() == id)
-                {
-                    act(&server.link);
-                }
+                drop(state);
+                self.with_server(id, |server| act(&server.link));
             }
         }
     }
@@ -299,6 +301,14 @@
         servers.iter().choose(rng).map_or(String::new(), |s| s.registration.id.as_str().into())
     }
 
+    /// Acts on a server, unless it was removed.
+    fn with_server(&self, id: &str, act: impl FnOnce(&Server)) {
+        let state = self.state();
+        if let Some(server) = state.servers.iter().find(|s| s.registration.id.as_str() == id) {
+            act(server);
+        }
+    }
+
     async fn misbehave_server(&self) {
         let id = self.random_server();
         let behaviour = match self.state().rng.random_range(0..11) {
@@ -314,15 +324,18 @@
             9 => Behaviour::CutHead,
             _ => Behaviour::AskForPause,
         };
-        let set = |behaviour| {
-            let state = self.state();
-            if let Some(server) = state.servers.iter().find(|s| s.registration.id.as_str() == id) {
-                server.set_behaviour(behaviour);
-            }
-        };
-        set(behaviour);
+        self.with_server(&id, |server| server.set_behaviour(behaviour));
         tokio::time::sleep(self.random_ms(100..2_000)).await;
-        set(Behaviour::Serve);
+        self.with_server(&id, |server| server.set_behaviour(Behaviour::Serve));
+    }
+
+    /// Lets a server name a limit for some time. Requests must not fail, so this is no disturbance.
+    async fn limit_server(&self) {
+        let id = self.random_server();
+        let limit = f64::from(self.state().rng.random_range(LIMIT_TENTHS)) / 10.0;
+        self.with_server(&id, |server| server.set_limit(Some(limit)));
+        tokio::time::sleep(LIMIT_TIME).await;
+        self.with_server(&id, |server| server.set_limit(None));
     }
 
     /// Lets a server say that it leaves, registers it as draining some time later, and then stops it.
--- a/crates/node/tests/soak/record.rs
+++ b/crates/node/tests/soak/record.rs
@@ -56,6 +56,8 @@
     pub says_leaving: bool,
     /// The pause that the server asked for when it turned the request away.
     pub pause: Option<Duration>,
+    /// The limit on requests per second that the response names.
+    pub limit: Option<f64>,
     /// When the work ended, also if the connection closed before that.
     pub ended: Option<Instant>,
 }
--- a/crates/node/tests/soak/server.rs
+++ b/crates/node/tests/soak/server.rs
@@ -67,6 +67,7 @@
     pub link: Link,
     behaviour: Arc<Mutex<Behaviour>>,
     is_leaving: Arc<AtomicBool>,
+    limit: Arc<Mutex<Option<f64>>>,
     _listener: Task,
 }
 
@@ -77,6 +78,7 @@
     service: &'static str,
     behaviour: Arc<Mutex<Behaviour>>,
     is_leaving: Arc<AtomicBool>,
+    limit: Arc<Mutex<Option<f64>>>,
     record: Arc<Record>,
 }
 
@@ -99,11 +101,13 @@
         };
         let behaviour = Arc::new(Mutex::new(Behaviour::Serve));
         let is_leaving: Arc<AtomicBool> = Arc::default();
+        let limit: Arc<Mutex<Option<f64>>> = Arc::default();
         let identity = Identity {
             id: id.clone(),
             service,
             behaviour: behaviour.clone(),
             is_leaving: is_leaving.clone(),
+            limit: limit.clone(),
             record,
         };
         let listener = tokio::spawn(async move {
@@ -123,7 +127,7 @@
             started: 1,
             report: 1,
         };
-        Server { registration, link, behaviour, is_leaving, _listener: Task(listener) }
+        Server { registration, link, behaviour, is_leaving, limit, _listener: Task(listener) }
     }
 
     pub fn set_behaviour(&self, behaviour: Behaviour) {
@@ -135,6 +139,11 @@
         self.is_leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Makes the server name this limit on requests per second in all its responses, or none.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        *self.limit.lock().unwrap_or_else(PoisonError::into_inner) = limit;
+    }
+
     /// Stops the server with all its connections and returns its link for another server.
     pub fn stop(self) -> Link {
         self.link.set_target(None);
@@ -199,8 +208,8 @@
     behaviour: Behaviour,
 ) -> bool {
     let says_leaving = identity.is_leaving.load(Ordering::SeqCst);
-    let notice =
-        if says_leaving { format!("{}: 1\r\n", header_names().leaving) } else { String::new() };
+    let limit = *identity.limit.lock().unwrap_or_else(PoisonError::into_inner);
+    let notice = encode_notice(says_leaving, limit);
     let is_for_this_server = request.target.is_empty() || request.target == identity.id;
     let refuses = matches!(behaviour, Behaviour::Shed | Behaviour::AskForPause);
     let was_run = is_for_this_server && !refuses;
@@ -218,6 +227,7 @@
             response: None,
             says_leaving,
             pause: asks_for_pause.then_some(PAUSE),
+            limit,
             ended: None,
         },
     );
@@ -284,6 +294,14 @@
     socket.write_all(&response).await.is_ok()
 }
 
+/// Returns the headers of a response that tell of the server itself.
+fn encode_notice(says_leaving: bool, limit: Option<f64>) -> String {
+    let names = header_names();
+    let leaving = says_leaving.then(|| format!("{}: 1\r\n", names.leaving));
+    let limit = limit.map(|limit| format!("{}: {limit}\r\n", names.limit));
+    leaving.into_iter().chain(limit).collect()
+}
+
 fn encode_refusal(status: u16, id: &str, notice: &str) -> Vec<u8> {
     let names = header_names();
     let (not_run, attempt) = (names.not_run, names.attempt);
