Find the lines that explain a request: redwingctl trace

What operators had: one line of one node has a request's id, and OPERATIONS.md told by hand where to look next, over the files of all nodes.

Change: redwingctl trace ID FILE... shows the request's lines with their fields, the advice for its result code, the changes of its servers and the start or stop of its node around it, when the node got the configuration, other requests that failed at the same servers at any node, and what any node knows of the same fingerprint. At most 200 related lines, the nearest in time; lines that are none are counted. jiff, which the log writer uses already, reads the times.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -42,6 +42,8 @@
     Burn(BurnArgs),
     /// Generates load.
     Load(LoadArgs),
+    /// Explains what happened to a request.
+    Trace(TraceArgs),
     /// Lists the result codes.
     Codes(CodesArgs),
 }
@@ -157,6 +159,21 @@
     pub json: bool,
 }
 
+/// find the lines of the nodes' logs that explain what happened to a request
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "trace")]
+pub struct TraceArgs {
+    /// the id of the request, or the fingerprint that a line names
+    #[argh(positional)]
+    pub id: String,
+    /// log files, best one of each node
+    #[argh(positional)]
+    pub files: Vec<String>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// list the result codes
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "codes")]
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -68,6 +68,12 @@
         /// All faults, each with its path in the configuration.
         faults: Vec<String>,
     },
+    /// No line of the logs names the request.
+    #[snafu(display("trace: no line names {id}"))]
+    NoLine {
+        /// The id of the request.
+        id: String,
+    },
     /// No node responded.
     #[snafu(display("client: no node answered: {what}"))]
     NoResponse {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod plot;
 pub mod run;
 pub mod table;
+pub mod trace;
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -1,7 +1,10 @@
 //! Runs the subcommands.
 
 use crate::{
-    args::{Action, BurnArgs, CodesArgs, DiffArgs, LoadArgs, PublishArgs, QueryArgs, WatchArgs},
+    args::{
+        Action, BurnArgs, CodesArgs, DiffArgs, LoadArgs, PublishArgs, QueryArgs, TraceArgs,
+        WatchArgs,
+    },
     client::{self, Client},
     codes, diff, document,
     error::{Error, Exit, Result},
@@ -12,6 +15,7 @@
     language::{self, Statement},
     load::{self, LoadPlan},
     plot, table,
+    trace::trace,
 };
 use redwingtrestle_core::codes::ResultCode;
 use redwingtrestle_wire::query::{Command, Query, QueryResponse};
@@ -53,10 +57,19 @@
         Action::Watch(args) => watch(args, token).await,
         Action::Burn(args) => burn(args, token).await,
         Action::Load(args) => run_load(args).await,
+        Action::Trace(args) => trace_request(&args),
         Action::Codes(args) => list_codes(&args),
     }
 }
 
+fn trace_request(args: &TraceArgs) -> Result<Output> {
+    if args.files.is_empty() {
+        return Err(Error::usage("trace needs log files"));
+    }
+    let trace = trace(&args.id, &args.files)?;
+    Ok(Output::ok(if args.json { to_json(&trace) } else { trace.to_text() }))
+}
+
 async fn query(args: QueryArgs, token: Option<String>) -> Result<Output> {
     let statement = language::parse(&args.text).map_err(|error| Error::Language { error })?;
     let client = Client::new(args.nodes, token)?;
