Read the settings again on SIGHUP instead of ending the node

What callers saw: a node of the product's own entry that got SIGHUP ended at once, without its planned stop, so open requests were cut. A terminal that closes sends it.

Cause: the node handled SIGTERM and SIGINT only; the default of SIGHUP ends a process.

Change: signals.rs handles all three, from before the node starts, as the gateway does. SIGHUP reads and checks the settings file and logs the outcome.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod rpc;
 pub mod settings;
 pub mod shared;
+pub mod signals;
 pub mod stop;
 pub mod telemetry;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,7 +4,13 @@
 
 use argh::FromArgs;
 use redwingtrestle_gateway::{gateway, settings::Settings as GatewaySettings};
-use redwingtrestle_node::{demo::Demo, logging, node::Node, settings::Settings};
+use redwingtrestle_node::{
+    demo::Demo,
+    logging,
+    node::Node,
+    settings::Settings,
+    signals::{self, Signals},
+};
 use redwingtrestle_platform::{header_names::header_names, store::StoreClient};
 use std::{
     net::SocketAddr,
@@ -114,10 +120,11 @@
 }
 
 fn run_node(path: &Path) -> Result<(), String> {
-    let settings = read_settings(path)?;
+    let mut settings = read_settings(path)?;
     logging::start(&settings.log_filter);
-    let node = Node::start(settings).map_err(|e| e.to_string())?;
-    wait_for_signal(&node)?;
+    let mut signals = Signals::listen().map_err(|e| e.to_string())?;
+    let node = Node::start(settings.clone()).map_err(|e| e.to_string())?;
+    signals.wait_for_stop(&node, || signals::read_settings_again(path, &mut settings));
     node.stop().map_err(|e| e.to_string())
 }
 
@@ -144,7 +151,8 @@
     if demo.is_ready() {
         print_examples(args, &demo);
     }
-    wait_for_signal(demo.node())?;
+    let mut signals = Signals::listen().map_err(|e| e.to_string())?;
+    signals.wait_for_stop(demo.node(), || log::info!("SIGHUP: the demo has no settings file"));
     demo.stop().map_err(|e| e.to_string())
 }
 
@@ -186,29 +194,3 @@
     println!("{ctl} query 'show drains' {node}");
     println!("{ctl} query 'undrain server {drainable}' {node}");
 }
-
-/// Waits for SIGTERM or Ctrl-C, or until the node ends by itself.
-///
-/// Both handlers stay installed afterwards, as tokio never removes one, so a further signal of either
-/// kind does not interrupt the planned stop.
-fn wait_for_signal(node: &Node) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|e| e.to_string())?;
-    runtime.block_on(async {
-        let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
-            .map_err(|e| e.to_string())?;
-        loop {
-            tokio::select! {
-                _ = term.recv() => return Ok(()),
-                _ = tokio::signal::ctrl_c() => return Ok(()),
-                () = tokio::time::sleep(Duration::from_millis(100)) => {
-                    if node.is_finished() {
-                        return Ok(());
-                    }
-                }
-            }
-        }
-    })
-}
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -101,6 +101,11 @@
         assert!(kill.wait().expect("kill ends").success(), "kill -{name} {pid}");
     }
 
+    /// Replaces the settings file of the running node.
+    pub fn write_settings(&self, text: &str) {
+        fs::write(&self.settings, text).expect("the settings file is written");
+    }
+
     /// Waits until the process has exited and returns whether its exit status is success.
     pub async fn wait_for_exit(&mut self) -> bool {
         wait_for("the node exits", || {
--- a/crates/node/tests/stopping.rs
+++ b/crates/node/tests/stopping.rs
@@ -516,3 +516,29 @@
 async fn late_forwarded_orders_do_not_hold_an_unbounded_stop() {
     late_orders_end_with_their_outcome(1, "").await;
 }
+
+/// Guards against a node that SIGHUP ends without a planned stop, so that it cuts its callers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hang_up_reads_the_settings_again_and_ends_nothing() {
+    let mut fleet = Fleet::start_with(1, 1, BackendOptions::default(), ENTRIES_TTL).await;
+    let get = || fleet.client.get(fleet.nodes[0].url("/stock")).send();
+    let node = &fleet.nodes[0];
+    node.signal("HUP");
+    wait_for("the settings are read again", || async {
+        let lines = node.log_lines("settings read again, changes take effect at the next start");
+        (!lines.is_empty()).then_some(())
+    })
+    .await;
+    node.write_settings("{ \"entry\": 7 }");
+    node.signal("HUP");
+    wait_for("the faults are logged", || async {
+        node.log()
+            .contains("the settings file is invalid and would fail the next start")
+            .then_some(())
+    })
+    .await;
+    assert_eq!(get().await.expect("the node responds").status(), 200);
+    node.signal("TERM");
+    node.signal("HUP");
+    assert!(fleet.nodes[0].wait_for_exit().await, "the planned stop was cut short");
+}
