Let requests of the soak end the servers that run them

The soak now has such a request for 7 s, beside its other events: a server that runs it ends with all its connections, refuses new ones, and is back as a new start 0.8 to 2.5 s later. Checked: from 3 s after the third crash on, the request reaches servers at most 3 times.

The links of servers listen on addresses of their own, as another connection could take a port of 127.0.0.1 while its server is down.

--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -8,6 +8,7 @@
 
     pub mod caller;
     pub mod checks;
+    pub mod crashes;
     pub mod events;
     pub mod limits;
     pub mod link;
--- a/crates/node/tests/soak/caller.rs
+++ b/crates/node/tests/soak/caller.rs
@@ -61,6 +61,8 @@
     /// Whether the caller uses its open connections as long as the entries keep them open, also those to entries that
     /// the directory does not name any more.
     pub keeps_connections: bool,
+    /// The path of all its requests, which are idempotent, instead of random ones.
+    pub only_path: Option<String>,
 }
 
 type RequestBody = UnsyncBoxBody<Bytes, Infallible>;
@@ -113,6 +115,16 @@
         None
     }
 
+    /// Returns the path of the next request, and whether it may run at most once.
+    fn draw_path(&mut self, number: u32) -> (String, bool) {
+        if let Some(path) = &self.only_path {
+            return (path.clone(), false);
+        }
+        let kind = *["orders", "reads", "files", "moves"].choose(&mut self.rng).expect("a kind");
+        let path = format!("/{kind}/{number}?of={}", self.name);
+        (path, matches!(kind, "orders" | "moves"))
+    }
+
     /// Returns the body of a request. A few are sent in two parts with a pause between them.
     fn request_body(&mut self, mut bytes: Vec<u8>) -> RequestBody {
         if bytes.is_empty() || !self.rng.random_bool(SLOW_BODY_PROBABILITY) {
@@ -144,9 +156,7 @@
             },
         };
         let id = format!("{}-{number}", self.name);
-        let kind = *["orders", "reads", "files", "moves"].choose(&mut self.rng).expect("a kind");
-        let at_most_once = matches!(kind, "orders" | "moves");
-        let path = format!("/{kind}/{number}?of={}", self.name);
+        let (path, at_most_once) = self.draw_path(number);
         let body = if at_most_once { format!("body of {id}").into_bytes() } else { Vec::new() };
         let names = header_names();
         let request = hyper::Request::builder()
--- a/crates/node/tests/soak/checks.rs
+++ b/crates/node/tests/soak/checks.rs
@@ -1,6 +1,7 @@
 //! Checks of the documented guarantees against what callers and backend servers observed.
 
 use super::{
+    crashes::crashed_on,
     limits::limits_exceeded,
     record::{Arrival, Component, Outcome, Record, SentRequest},
     server::response_body,
@@ -65,6 +66,7 @@
     found.extend(reached_after_leaving(record, &requests));
     found.extend(reached_in_pause(record, &requests));
     found.extend(limits_exceeded(record, &requests));
+    found.extend(crashed_on(record, &requests));
     for (id, request, arrivals) in requests {
         let faults = [
             run_twice(&request, &arrivals),
--- a/crates/node/tests/soak/events.rs
+++ b/crates/node/tests/soak/events.rs
@@ -1,22 +1,27 @@
 //! The planned changes and injected faults of a run.
 
 use super::{
+    caller::Caller,
     checks::Draining,
     link::{ConnectionFault, Link, LinkFault},
     process::STOP_MS,
     record::Component,
     run::{RunState, SoakRun},
-    server::{Behaviour, Server},
+    server::{Behaviour, Server, CRASHING_PATH},
 };
-use rand::{rngs::StdRng, seq::IteratorRandom, Rng};
+use rand::{rngs::StdRng, seq::IteratorRandom, Rng, SeedableRng};
 use redwingtrestle_core::process::registration::{RegistrationState, ServerId};
 use redwingtrestle_platform_fakes::store::Mode;
 use rustix::process::Signal;
 use std::{
-    sync::atomic::{AtomicBool, Ordering},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
     time::{Duration, Instant},
 };
 use strum::IntoEnumIterator;
+use tokio::task::JoinSet;
 
 /// The probability that an event is a misbehaving server, before all kinds are drawn evenly.
 const MISBEHAVIOUR_PROBABILITY: f64 = 0.3;
@@ -31,6 +36,15 @@
 const LIMIT_TIME: Duration = Duration::from_millis(9_000);
 const LIMIT_TENTHS: std::ops::Range<u32> = 10..60;
 
+/// A request that crashes servers is sent again and again for this long.
+const CRASHING_TIME: Duration = Duration::from_millis(7_000);
+
+/// A server that crashed is away for so long, in milliseconds.
+const CRASHED_MS: std::ops::Range<u64> = 800..2_500;
+
+/// The interval at which crashes are noticed.
+const CRASH_CHECK: Duration = Duration::from_millis(5);
+
 /// A kind of change or fault. Planned changes come first. Seeds replay the same events only if the order stays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
 pub enum Event {
@@ -52,6 +66,7 @@
     ReuseAddress,
     StoreComesBackOlder,
     ServerNamesLimit,
+    CrashingRequest,
 }
 
 impl Event {
@@ -124,6 +139,7 @@
             Event::ReuseAddress => self.reuse_address().await,
             Event::StoreComesBackOlder => self.restore_store().await,
             Event::ServerNamesLimit => self.limit_server().await,
+            Event::CrashingRequest => self.send_crashing_requests().await,
         }
     }
 }
@@ -338,6 +354,65 @@
         self.with_server(&id, |server| server.set_limit(None));
     }
 
+    /// Sends a request that ends each server which runs it, and starts these servers again.
+    async fn send_crashing_requests(&self) {
+        let number: u32 = self.state().rng.random();
+        let caller = Caller {
+            name: format!("crash-{number}"),
+            nodes: self.endpoints(),
+            record: self.record.clone(),
+            rng: StdRng::seed_from_u64(number.into()),
+            client: self.client.clone(),
+            keeps_connections: false,
+            only_path: Some(format!("{CRASHING_PATH}-{number}")),
+        };
+        let is_over: Arc<AtomicBool> = Arc::default();
+        let calls = tokio::spawn(caller.run(is_over.clone()));
+        let started = Instant::now();
+        let mut down = JoinSet::new();
+        while started.elapsed() < CRASHING_TIME {
+            for id in self.crashed_servers() {
+                let disturbance = self.record.start_disturbance(Component::Server(id.clone()));
+                let away = self.random_ms(CRASHED_MS);
+                down.spawn(async move {
+                    tokio::time::sleep(away).await;
+                    (id, disturbance)
+                });
+            }
+            while let Some(Ok(back)) = down.try_join_next() {
+                self.restart_server(&back.0, back.1);
+            }
+            tokio::time::sleep(CRASH_CHECK).await;
+        }
+        is_over.store(true, Ordering::SeqCst);
+        calls.await.expect("the caller ends");
+        for id in self.crashed_servers() {
+            let disturbance = self.record.start_disturbance(Component::Server(id.clone()));
+            self.restart_server(&id, disturbance);
+        }
+        while let Some(back) = down.join_next().await {
+            let (id, disturbance) = back.expect("a wait ends");
+            self.restart_server(&id, disturbance);
+        }
+    }
+
+    /// Ends the servers that have run a request which crashes them, and returns their ids.
+    fn crashed_servers(&self) -> Vec<String> {
+        let state = self.state();
+        let crashed = state.servers.iter().filter(|server| server.take_crash());
+        crashed.map(|server| server.registration.id.as_str().to_string()).collect()
+    }
+
+    fn restart_server(&self, id: &str, disturbance: usize) {
+        let mut state = self.state();
+        let found = state.servers.iter_mut().find(|s| s.registration.id.as_str() == id);
+        if let Some(server) = found {
+            server.restart();
+            self.store.register(&server.registration);
+        }
+        self.record.end_disturbance(disturbance);
+    }
+
     /// Lets a server say that it leaves, registers it as draining some time later, and then stops it.
     async fn drain_server(&self) {
         let Some(mut server) = self.remove_server() else { return };
--- a/crates/node/tests/soak/link.rs
+++ b/crates/node/tests/soak/link.rs
@@ -1,6 +1,11 @@
 //! A loopback proxy that can delay, block, reset and stall its connections.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -40,8 +45,12 @@
     /// The number of connection faults so far, and the latest one.
     connection_faults: u64,
     last_connection_fault: Option<ConnectionFault>,
+    is_down: bool,
 }
 
+/// The pause between two attempts to listen again. A process that just starts may still have the old socket.
+const LISTEN_PAUSE: Duration = Duration::from_millis(10);
+
 /// A proxy that listens at `addr` and forwards connections to its target.
 #[derive(Debug)]
 pub struct Link {
@@ -61,18 +70,14 @@
 }
 
 impl Link {
-    /// Starts a link to `target`.
-    pub async fn start(target: SocketAddr) -> io::Result<Link> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+    /// Starts a link at any port of `ip` to `target`.
+    pub async fn start(ip: IpAddr, target: SocketAddr) -> io::Result<Link> {
+        let listener = TcpListener::bind((ip, 0)).await?;
         let addr = listener.local_addr()?;
         let state = State { target: Some(target), ..State::default() };
         let state = Arc::new(watch::Sender::new(state));
         let shared = state.clone();
-        let task = tokio::spawn(async move {
-            while let Ok((socket, _)) = listener.accept().await {
-                tokio::spawn(forward(socket, shared.subscribe()));
-            }
-        });
+        let task = tokio::spawn(listen(listener, addr, shared));
         Ok(Link { addr, state, _task: Task(task) })
     }
 
@@ -89,12 +94,46 @@
         });
     }
 
+    /// Ends all connections and refuses new ones, or listens again.
+    pub fn set_down(&self, is_down: bool) {
+        self.state.send_modify(|state| state.is_down = is_down);
+    }
+
     /// Sets the target of new connections. Without a target they are closed at once.
     pub fn set_target(&self, target: Option<SocketAddr>) {
         self.state.send_modify(|state| state.target = target);
     }
 }
 
+/// Accepts connections while the link is not down.
+async fn listen(mut listener: TcpListener, addr: SocketAddr, state: Arc<watch::Sender<State>>) {
+    let mut watched = state.subscribe();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((socket, _)) = accepted {
+                    tokio::spawn(forward(socket, state.subscribe()));
+                }
+                continue;
+            }
+            _ = watched.wait_for(|state| state.is_down) => {}
+        }
+        drop(listener);
+        // The channel stays open, as this task has a sender.
+        let _ = watched.wait_for(|state| !state.is_down).await;
+        listener = listen_again(addr).await;
+    }
+}
+
+async fn listen_again(addr: SocketAddr) -> TcpListener {
+    loop {
+        if let Ok(listener) = TcpListener::bind(addr).await {
+            return listener;
+        }
+        tokio::time::sleep(LISTEN_PAUSE).await;
+    }
+}
+
 async fn forward(client: TcpStream, state: watch::Receiver<State>) {
     let Some(target) = state.borrow().target else { return };
     let Ok(target_side) = TcpStream::connect(target).await else { return };
@@ -105,8 +144,9 @@
     let (target_read, target_write) = target_side.into_split();
     let faults_at_start = state.borrow().connection_faults;
     let is_reset = |s: &State| {
-        s.connection_faults > faults_at_start
-            && s.last_connection_fault == Some(ConnectionFault::Reset)
+        let is_faulty = s.connection_faults > faults_at_start
+            && s.last_connection_fault == Some(ConnectionFault::Reset);
+        is_faulty || s.is_down
     };
     let mut watched = state.clone();
     tokio::select! {
--- a/crates/node/tests/soak/process.rs
+++ b/crates/node/tests/soak/process.rs
@@ -29,6 +29,9 @@
     (1..=nodes).map(|node| IpAddr::V4(Ipv4Addr::new(127, process_octet, fleet, node))).collect()
 }
 
+/// The address of links whose ports are never given up.
+const LOCALHOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
 /// A gateway process with its links to callers and the store.
 #[derive(Debug)]
 pub struct Node {
@@ -51,8 +54,9 @@
     pub async fn new(folder: &Path, ips: &[IpAddr], number: usize, store: &Store) -> Node {
         let ip = ips[number];
         let name = format!("n{number}");
-        let callers = Link::start(SocketAddr::new(ip, ENTRY_PORT)).await.expect("a link");
-        let store = Link::start(store.addr()).await.expect("a link");
+        let callers =
+            Link::start(LOCALHOST, SocketAddr::new(ip, ENTRY_PORT)).await.expect("a link");
+        let store = Link::start(LOCALHOST, store.addr()).await.expect("a link");
         let node = Node {
             name,
             ip,
--- a/crates/node/tests/soak/run.rs
+++ b/crates/node/tests/soak/run.rs
@@ -18,6 +18,7 @@
 };
 use redwingtrestle_platform_fakes::store::Store;
 use std::{
+    net::{IpAddr, Ipv4Addr},
     path::{Path, PathBuf},
     sync::{
         atomic::{AtomicBool, Ordering},
@@ -42,6 +43,10 @@
 /// The pause between the starts of two events, in milliseconds.
 const EVENT_PAUSE_MS: std::ops::Range<u64> = 20..300;
 
+/// The last octets of the servers' addresses.
+const FIRST_SERVER_OCTET: u8 = 100;
+const SERVER_OCTETS: usize = 100;
+
 /// The size of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -82,7 +87,7 @@
     pub(super) store: Store,
     pub(super) record: Arc<Record>,
     state: Mutex<RunState>,
-    client: reqwest::Client,
+    pub(super) client: reqwest::Client,
     folder: PathBuf,
 }
 
@@ -177,12 +182,15 @@
 
     /// Starts and registers a server. With `link` it takes over the address of that link.
     pub(super) async fn add_server(&self, service: &'static str, link: Option<Link>) {
-        let id = {
+        let (ip, id) = {
             let mut state = self.state();
             state.last_server_id += 1;
-            format!("i-{}", state.last_server_id)
+            (
+                server_ip(state.nodes[0].ip, state.last_server_id),
+                format!("i-{}", state.last_server_id),
+            )
         };
-        let server = Server::start(id, service, link, self.record.clone()).await;
+        let server = Server::start(ip, id, service, link, self.record.clone()).await;
         self.store.register(&server.registration);
         self.state().servers.push(server);
     }
@@ -200,6 +208,11 @@
         Some(servers.remove(index))
     }
 
+    /// Returns the addresses at which callers reach the nodes.
+    pub(super) fn endpoints(&self) -> Vec<NodeEndpoints> {
+        self.state().nodes.iter().map(endpoints).collect()
+    }
+
     pub(super) fn random_ms(&self, range: std::ops::Range<u64>) -> Duration {
         Duration::from_millis(self.state().rng.random_range(range))
     }
@@ -215,7 +228,7 @@
         let until = started + self.size.time;
         let is_over: Arc<AtomicBool> = Arc::default();
         let mut callers = JoinSet::new();
-        let endpoints: Vec<NodeEndpoints> = self.state().nodes.iter().map(endpoints).collect();
+        let endpoints = self.endpoints();
         for number in 0..self.size.callers {
             let caller = Caller {
                 name: format!("c{number}"),
@@ -224,6 +237,7 @@
                 rng: StdRng::seed_from_u64(seed ^ (number as u64 + 1) << 32),
                 client: self.client.clone(),
                 keeps_connections: number % 3 == 0,
+                only_path: None,
             };
             callers.spawn(caller.run(is_over.clone()));
         }
@@ -259,6 +273,13 @@
     }
 }
 
+/// Returns an address beside those of the nodes. On a shared one, a connection could take the port of a server that is down.
+fn server_ip(node: IpAddr, number: usize) -> IpAddr {
+    let IpAddr::V4(node) = node else { return node };
+    let [a, b, c, _] = node.octets();
+    Ipv4Addr::new(a, b, c, FIRST_SERVER_OCTET + (number % SERVER_OCTETS) as u8).into()
+}
+
 fn endpoints(node: &Node) -> NodeEndpoints {
     NodeEndpoints { directory: node.entries_url(), entry: node.entry(), link: node.callers.addr }
 }
--- a/crates/node/tests/soak/server.rs
+++ b/crates/node/tests/soak/server.rs
@@ -10,6 +10,7 @@
 };
 use redwingtrestle_platform::header_names::header_names;
 use std::{
+    net::IpAddr,
     sync::{
         atomic::{AtomicBool, Ordering},
         Arc, Mutex, PoisonError,
@@ -60,6 +61,10 @@
 const LONG_WORK: Duration = Duration::from_millis(1_400);
 const LONG_EACH: u32 = 8;
 
+/// A server ends when it has run a request with this beginning of its path for `TIME_TO_CRASH`.
+pub const CRASHING_PATH: &str = "/reads/crash";
+const TIME_TO_CRASH: Duration = Duration::from_millis(30);
+
 /// A running backend server behind a link.
 #[derive(Debug)]
 pub struct Server {
@@ -68,6 +73,7 @@
     behaviour: Arc<Mutex<Behaviour>>,
     is_leaving: Arc<AtomicBool>,
     limit: Arc<Mutex<Option<f64>>>,
+    crashed: Arc<AtomicBool>,
     _listener: Task,
 }
 
@@ -79,12 +85,14 @@
     behaviour: Arc<Mutex<Behaviour>>,
     is_leaving: Arc<AtomicBool>,
     limit: Arc<Mutex<Option<f64>>>,
+    crashed: Arc<AtomicBool>,
     record: Arc<Record>,
 }
 
 impl Server {
-    /// Starts a server. With `link` it takes over the address of that link, otherwise it gets a new one.
+    /// Starts a server. With `link` it takes over the address of that link, otherwise it gets a new one on `ip`.
     pub async fn start(
+        ip: IpAddr,
         id: String,
         service: &'static str,
         link: Option<Link>,
@@ -95,19 +103,22 @@
         let link = match link {
             Some(link) => {
                 link.set_target(Some(listen_addr));
+                link.set_down(false);
                 link
             }
-            None => Link::start(listen_addr).await.expect("a link"),
+            None => Link::start(ip, listen_addr).await.expect("a link"),
         };
         let behaviour = Arc::new(Mutex::new(Behaviour::Serve));
         let is_leaving: Arc<AtomicBool> = Arc::default();
         let limit: Arc<Mutex<Option<f64>>> = Arc::default();
+        let crashed: Arc<AtomicBool> = Arc::default();
         let identity = Identity {
             id: id.clone(),
             service,
             behaviour: behaviour.clone(),
             is_leaving: is_leaving.clone(),
             limit: limit.clone(),
+            crashed: crashed.clone(),
             record,
         };
         let listener = tokio::spawn(async move {
@@ -127,7 +138,15 @@
             started: 1,
             report: 1,
         };
-        Server { registration, link, behaviour, is_leaving, limit, _listener: Task(listener) }
+        Server {
+            registration,
+            link,
+            behaviour,
+            is_leaving,
+            limit,
+            crashed,
+            _listener: Task(listener),
+        }
     }
 
     pub fn set_behaviour(&self, behaviour: Behaviour) {
@@ -144,6 +163,22 @@
         *self.limit.lock().unwrap_or_else(PoisonError::into_inner) = limit;
     }
 
+    /// Ends the server if it has run a request that crashes it, and returns whether it has.
+    pub fn take_crash(&self) -> bool {
+        let has_crashed = self.crashed.swap(false, Ordering::SeqCst);
+        if has_crashed {
+            self.link.set_down(true);
+        }
+        has_crashed
+    }
+
+    /// Starts the server again after its crash.
+    pub fn restart(&mut self) {
+        self.registration.started += 1;
+        self.registration.report += 1;
+        self.link.set_down(false);
+    }
+
     /// Stops the server with all its connections and returns its link for another server.
     pub fn stop(self) -> Link {
         self.link.set_target(None);
@@ -241,6 +276,12 @@
     }
     let signature = format!("{}.{number}.{}", identity.id, identity.service);
     let is_long = request.id.bytes().map(u32::from).sum::<u32>() % LONG_EACH == 0;
+    if request.path.starts_with(CRASHING_PATH) {
+        tokio::time::sleep(TIME_TO_CRASH).await;
+        identity.crashed.store(true, Ordering::SeqCst);
+        // The connection stays open until the link is down.
+        std::future::pending::<()>().await;
+    }
     let work = match behaviour {
         Behaviour::Hang => Duration::from_secs(3_600),
         _ if is_long => LONG_WORK,
