Use one set of signal handlers for the gateway and the node

No behaviour. Signals moves from gateway.rs to a module of its own with a wait for the next signal, and the node keeps only its runtime and its check whether it has ended by itself.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
     http_api, logs, peer_rpc, saved_state,
     settings::Settings,
     shared::Shared,
+    signals::{ProcessSignal, Signals},
     stop,
     store::{Store, Stream},
     store_watch, telemetry,
@@ -18,7 +19,6 @@
 use tokio::{
     net::UdpSocket,
     runtime::{Builder, Runtime},
-    signal::unix::{signal, Signal, SignalKind},
 };
 
 /// How often the settings file is read again. It may change without a signal.
@@ -79,34 +79,16 @@
     Ok(())
 }
 
-/// The signals that the process handles.
-#[derive(Debug)]
-struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-    hang_up: Signal,
-}
-
-impl Signals {
-    fn listen() -> Result<Self> {
-        let listen = |kind| signal(kind).map_err(|e| Error::start("signals", &e));
-        Ok(Signals {
-            terminate: listen(SignalKind::terminate())?,
-            interrupt: listen(SignalKind::interrupt())?,
-            hang_up: listen(SignalKind::hangup())?,
-        })
-    }
-}
-
 /// Waits for SIGTERM or SIGINT, and checks for changed settings meanwhile.
 async fn wait_for_stop(shared: &Shared, path: &Path, mut signals: Signals) {
     let mut timer = tokio::time::interval(duration(SETTINGS_CHECK));
     let mut current = shared.settings.clone();
     loop {
         let cause = tokio::select! {
-            _ = signals.terminate.recv() => return,
-            _ = signals.interrupt.recv() => return,
-            _ = signals.hang_up.recv() => "SIGHUP",
+            signal = signals.next() => match signal {
+                ProcessSignal::Stop => return,
+                ProcessSignal::HangUp => "SIGHUP",
+            },
             _ = timer.tick() => "changed file",
         };
         check_settings(path, cause, &mut current);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod server_send;
 pub mod settings;
 pub mod shared;
+pub mod signals;
 pub mod stop;
 pub mod store;
 pub mod store_watch;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -9,7 +9,7 @@
     logging,
     node::Node,
     settings::Settings,
-    signals::{self, Signals},
+    signals::{self, NodeSignals},
 };
 use redwingtrestle_platform::{header_names::header_names, store::StoreClient};
 use std::{
@@ -122,7 +122,7 @@
 fn run_node(path: &Path) -> Result<(), String> {
     let mut settings = read_settings(path)?;
     logging::start(&settings.log_filter);
-    let mut signals = Signals::listen().map_err(|e| e.to_string())?;
+    let mut signals = NodeSignals::listen().map_err(|e| e.to_string())?;
     let node = Node::start(settings.clone()).map_err(|e| e.to_string())?;
     signals.wait_for_stop(&node, || signals::read_settings_again(path, &mut settings));
     node.stop().map_err(|e| e.to_string())
@@ -151,7 +151,7 @@
     if demo.is_ready() {
         print_examples(args, &demo);
     }
-    let mut signals = Signals::listen().map_err(|e| e.to_string())?;
+    let mut signals = NodeSignals::listen().map_err(|e| e.to_string())?;
     signals.wait_for_stop(demo.node(), || log::info!("SIGHUP: the demo has no settings file"));
     demo.stop().map_err(|e| e.to_string())
 }
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -5,54 +5,48 @@
     node::Node,
     settings::Settings,
 };
+use redwingtrestle_gateway::signals::{ProcessSignal, Signals};
 use std::{path::Path, time::Duration};
-use tokio::{
-    runtime::Runtime,
-    signal::unix::{signal, Signal, SignalKind},
-};
+use tokio::runtime::Runtime;
 
 /// The interval at which a node that ends by itself is noticed.
 const END_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The signals that the process handles. The handlers stay installed after the drop, as tokio never removes one, so that
-/// a further signal does not interrupt a planned stop.
+/// The signals of a node, with the runtime on which it waits for them.
 #[derive(Debug)]
-pub struct Signals {
+pub struct NodeSignals {
     runtime: Runtime,
-    terminate: Signal,
-    interrupt: Signal,
-    hang_up: Signal,
+    signals: Signals,
 }
 
-impl Signals {
-    /// Installs the handlers. Signals that come before the wait begins are kept for it.
+impl NodeSignals {
+    /// Installs the handlers, see [`Signals::listen`].
     ///
     /// # Errors
     ///
-    /// Fails if the system refuses a handler.
+    /// Fails if the runtime cannot start or the system refuses a handler.
     pub fn listen() -> Result<Self> {
-        let failed = |e: std::io::Error| Error::start("signals", e.to_string());
-        let runtime =
-            tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(failed)?;
-        let listen = |kind| {
-            let _context = runtime.enter();
-            signal(kind).map_err(failed)
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(|e| Error::start("signals", e.to_string()))?;
+        let signals = {
+            let _entered = runtime.enter();
+            Signals::listen()?
         };
-        let (terminate, interrupt) =
-            (listen(SignalKind::terminate())?, listen(SignalKind::interrupt())?);
-        let hang_up = listen(SignalKind::hangup())?;
-        Ok(Signals { runtime, terminate, interrupt, hang_up })
+        Ok(NodeSignals { runtime, signals })
     }
 
     /// Waits for SIGTERM or SIGINT, or until the node ends by itself. Calls `on_hang_up` for each SIGHUP.
     pub fn wait_for_stop(&mut self, node: &Node, mut on_hang_up: impl FnMut()) {
-        let Signals { runtime, terminate, interrupt, hang_up } = self;
+        let NodeSignals { runtime, signals } = self;
         runtime.block_on(async {
             while !node.is_finished() {
                 tokio::select! {
-                    _ = terminate.recv() => return,
-                    _ = interrupt.recv() => return,
-                    _ = hang_up.recv() => on_hang_up(),
+                    signal = signals.next() => match signal {
+                        ProcessSignal::Stop => return,
+                        ProcessSignal::HangUp => on_hang_up(),
+                    },
                     () = tokio::time::sleep(END_CHECK_INTERVAL) => {}
                 }
             }
