Tell in one place of the soak what was passed on, and which servers crashed

No behaviour. The check of limits found out again, beside that of leaving servers, whether a response was passed on; SentRequest answers it for both. The event of crashing requests began the disturbance of a server in two places. The test of the carriers kills a node by NodeProcess::signal, as the others do. Two comments are reworded.

--- a/crates/node/tests/carriers.rs
+++ b/crates/node/tests/carriers.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{spawn_command, wait_for, Fleet, Load};
+use common::{wait_for, Fleet, Load};
 use futures_util::future::join_all;
 use redwingtrestle_fakes::{
     backend::{Backend, BackendOptions},
@@ -14,7 +14,6 @@
 use std::{
     collections::BTreeSet,
     net::SocketAddr,
-    process::Command,
     time::{Duration, Instant},
 };
 
@@ -168,11 +167,10 @@
     let carrier = order_entries(&fleet, others[0]).await.expect("a response").entries[0];
     let killed_carrier =
         carriers.into_iter().find(|c| fleet.nodes[*c].entry == carrier).expect("a carrier");
-    let killed_pid = fleet.nodes[killed_carrier].child.id().to_string();
     let kill = async {
         let is_running = || keys[..12].iter().any(|k| fleet.runs(k) > 0);
         wait_for("an order runs", || async { is_running().then_some(()) }).await;
-        spawn_command(Command::new("kill").args(["-KILL", &killed_pid])).wait().expect("kill ends")
+        fleet.nodes[killed_carrier].signal("KILL");
     };
     let (outcomes, _) = tokio::join!(join_all(copies), kill);
     let start = Instant::now();
--- a/crates/node/tests/soak/checks.rs
+++ b/crates/node/tests/soak/checks.rs
@@ -251,13 +251,10 @@
 fn reached_after_leaving(record: &Record, requests: &[RecordedRequest]) -> Vec<String> {
     let mut known: HashMap<(IpAddr, &str), Instant> = HashMap::new();
     for (_, request, arrivals) in requests {
-        let Some(end) = &request.end else { continue };
-        let Outcome::Response(_, Some(signature), _) = &end.outcome else { continue };
-        let is_passed_on =
-            |a: &&Arrival| a.says_leaving && a.response.as_ref().is_some_and(|r| r.1 == *signature);
-        for arrival in arrivals.iter().filter(is_passed_on) {
-            let at = known.entry((request.node, &*arrival.server)).or_insert(end.at);
-            *at = end.at.min(*at);
+        for arrival in arrivals.iter().filter(|arrival| arrival.says_leaving) {
+            let Some(passed_on) = request.passed_on(arrival) else { continue };
+            let at = known.entry((request.node, &*arrival.server)).or_insert(passed_on);
+            *at = passed_on.min(*at);
         }
     }
     let mut found = Vec::new();
--- a/crates/node/tests/soak/events.rs
+++ b/crates/node/tests/soak/events.rs
@@ -345,7 +345,7 @@
         self.with_server(&id, |server| server.set_behaviour(Behaviour::Serve));
     }
 
-    /// Lets a server name a limit for some time. Requests must not fail, so this is no disturbance.
+    /// Makes a server name a limit for some time. This is no disturbance, as callers are still served.
     async fn limit_server(&self) {
         let id = self.random_server();
         let limit = f64::from(self.state().rng.random_range(LIMIT_TENTHS)) / 10.0;
@@ -371,23 +371,21 @@
         let started = Instant::now();
         let mut down = JoinSet::new();
         while started.elapsed() < CRASHING_TIME {
-            for id in self.crashed_servers() {
-                let disturbance = self.record.start_disturbance(Component::Server(id.clone()));
+            for crashed in self.end_crashed_servers() {
                 let away = self.random_ms(CRASHED_MS);
                 down.spawn(async move {
                     tokio::time::sleep(away).await;
-                    (id, disturbance)
+                    crashed
                 });
             }
-            while let Some(Ok(back)) = down.try_join_next() {
-                self.restart_server(&back.0, back.1);
+            while let Some(Ok((id, disturbance))) = down.try_join_next() {
+                self.restart_server(&id, disturbance);
             }
             tokio::time::sleep(CRASH_CHECK).await;
         }
         is_over.store(true, Ordering::SeqCst);
         calls.await.expect("the caller ends");
-        for id in self.crashed_servers() {
-            let disturbance = self.record.start_disturbance(Component::Server(id.clone()));
+        for (id, disturbance) in self.end_crashed_servers() {
             self.restart_server(&id, disturbance);
         }
         while let Some(back) = down.join_next().await {
@@ -396,11 +394,16 @@
         }
     }
 
-    /// Ends the servers that have run a request which crashes them, and returns their ids.
-    fn crashed_servers(&self) -> Vec<String> {
+    /// Ends the servers that have run a request which crashes them, and returns their ids and disturbances.
+    fn end_crashed_servers(&self) -> Vec<(String, usize)> {
         let state = self.state();
         let crashed = state.servers.iter().filter(|server| server.take_crash());
-        crashed.map(|server| server.registration.id.as_str().to_string()).collect()
+        let disturb = |server: &Server| {
+            let id = server.registration.id.as_str().to_string();
+            let disturbance = self.record.start_disturbance(Component::Server(id.clone()));
+            (id, disturbance)
+        };
+        crashed.map(disturb).collect()
     }
 
     fn restart_server(&self, id: &str, disturbance: usize) {
--- a/crates/node/tests/soak/limits.rs
+++ b/crates/node/tests/soak/limits.rs
@@ -2,7 +2,7 @@
 
 use super::{
     checks::{RecordedRequest, UNDISTURBED_MARGIN},
-    record::{Arrival, Component, Outcome, Record, SentRequest},
+    record::{Arrival, Component, Record, SentRequest},
 };
 use std::{
     collections::BTreeMap,
@@ -53,6 +53,7 @@
 
 /// Checks the requests that reached a server while it named one limit, in the order of their arrival.
 fn limit_exceeded(record: &Record, period: &[Reached<'_>], limit: f64) -> Option<String> {
+    let passed_on = |r: &Reached<'_>| Some((r.node, r.request.passed_on(r.arrival)?));
     let passed_on: Vec<(IpAddr, Instant)> = period.iter().filter_map(passed_on).collect();
     let first = passed_on.iter().map(|(_, at)| *at).min()?;
     let counts: Vec<Instant> = period
@@ -71,16 +72,8 @@
     })
 }
 
-/// Returns the node that passed on the response to this request, and when.
-fn passed_on(reached: &Reached<'_>) -> Option<(IpAddr, Instant)> {
-    let end = reached.request.end.as_ref()?;
-    let Outcome::Response(_, Some(signature), _) = &end.outcome else { return None };
-    let is_passed_on = reached.arrival.response.as_ref().is_some_and(|r| r.1 == *signature);
-    is_passed_on.then_some((reached.node, end.at))
-}
-
-/// Returns whether the node knew the limit when the request arrived. A restart or a disturbance of the node or of the link
-/// to the server excuses it.
+/// Returns whether the node must have known the limit when the request arrived. It need not after a restart, or while it
+/// or its link to the server was disturbed.
 fn knows(record: &Record, passed_on: &[(IpAddr, Instant)], reached: &Reached<'_>) -> bool {
     let Reached { node, arrival, .. } = reached;
     let has_passed_on = passed_on.iter().any(|(from, at)| {
--- a/crates/node/tests/soak/record.rs
+++ b/crates/node/tests/soak/record.rs
@@ -18,6 +18,16 @@
     pub end: Option<RequestEnd>,
 }
 
+impl SentRequest {
+    /// Returns when the response to this arrival was passed on to the caller, if it was.
+    pub fn passed_on(&self, arrival: &Arrival) -> Option<Instant> {
+        let end = self.end.as_ref()?;
+        let Outcome::Response(_, Some(signature), _) = &end.outcome else { return None };
+        let (_, sent) = arrival.response.as_ref()?;
+        (sent == signature).then_some(end.at)
+    }
+}
+
 /// The end of a request for its caller.
 #[derive(Clone, Debug)]
 pub struct RequestEnd {
