Tell in one place of the trace which lines are the request's own

No behaviour: three filters spelled out the same comparison, and the text of a row was put together from two branches.

--- a/crates/ctl/src/trace/mod.rs
+++ b/crates/ctl/src/trace/mod.rs
@@ -29,6 +29,13 @@
     pub line: LogLine,
 }
 
+impl TracedLine {
+    /// Returns whether the line is about the request itself.
+    fn is_own(&self) -> bool {
+        self.relation == Relation::Request
+    }
+}
+
 /// The lines about a request, by time.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Trace {
@@ -83,9 +90,8 @@
 
 /// Leaves out the related lines that are most distant from the request in time, and returns how many.
 fn omit_distant(lines: &mut Vec<TracedLine>, subject: &Subject) -> usize {
-    let is_own = |traced: &TracedLine| traced.relation == Relation::Request;
-    lines.sort_by_key(|traced| (!is_own(traced), subject.distance(traced.line.time)));
-    let own = lines.iter().filter(|traced| is_own(traced)).count();
+    lines.sort_by_key(|traced| (!traced.is_own(), subject.distance(traced.line.time)));
+    let own = lines.iter().filter(|traced| traced.is_own()).count();
     let omitted = lines.len().saturating_sub(own + MAX_RELATED);
     lines.truncate(own + MAX_RELATED);
     omitted
--- a/crates/ctl/src/trace/text.rs
+++ b/crates/ctl/src/trace/text.rs
@@ -1,6 +1,6 @@
 //! The lines about a request, as text for people.
 
-use super::{Relation, Trace, TracedLine};
+use super::{Trace, TracedLine};
 use crate::{codes, table};
 use std::collections::BTreeSet;
 
@@ -10,8 +10,7 @@
         let rows: Vec<Vec<String>> = self.lines.iter().map(row).collect();
         let mut parts =
             vec![table::render(&["time", "relation", "file", "target", "message"], &rows)];
-        let is_own = |traced: &&TracedLine| traced.relation == Relation::Request;
-        parts.extend(self.lines.iter().filter(is_own).map(fields));
+        parts.extend(self.own_lines().map(fields));
         parts.extend(self.advice());
         if self.omitted > 0 {
             parts.push(format!("{} more related lines are left out\n", self.omitted));
@@ -22,11 +21,15 @@
         parts.join("\n")
     }
 
+    fn own_lines(&self) -> impl Iterator<Item = &TracedLine> {
+        self.lines.iter().filter(|traced| traced.is_own())
+    }
+
     /// Returns the advice of `docs/ERRORS.md` for each result code with which the request ended.
     fn advice(&self) -> Vec<String> {
-        let own = self.lines.iter().filter(|traced| traced.relation == Relation::Request);
+        let messages = self.own_lines().map(|traced| traced.line.message.as_str());
         let words: BTreeSet<&str> =
-            own.flat_map(|traced| traced.line.message.split([' ', ':'])).collect();
+            messages.flat_map(|message| message.split([' ', ':'])).collect();
         let codes = codes::all();
         let named = codes.iter().filter(|code| words.contains(code.name.as_str()));
         named.map(|code| format!("{} {}: {}\n", code.number, code.name, code.operator)).collect()
@@ -35,20 +38,19 @@
 
 fn row(traced: &TracedLine) -> Vec<String> {
     let line = &traced.line;
-    let related = match traced.relation {
-        Relation::Request => String::new(),
-        _ => line
-            .fields
-            .iter()
-            .map(|(name, value)| format!(" {name}={}", table::cell(value)))
-            .collect(),
-    };
+    let mut message = line.message.clone();
+    // The fields of the request's own lines have tables of their own.
+    if !traced.is_own() {
+        for (name, value) in &line.fields {
+            message += &format!(" {name}={}", table::cell(value));
+        }
+    }
     vec![
         line.time.to_string(),
         traced.relation.to_string(),
         line.file.to_string(),
         line.target.clone(),
-        line.message.clone() + &related,
+        message,
     ]
 }
 
