--- a/crates/core/src/process/crash_records.rs
+++ b/crates/core/src/process/crash_records.rs
@@ -91,6 +91,12 @@
         Some(self.newest() + FIRST_BLOCK.times(1 << beyond))
     }
 
+    /// Returns how long the request is still blocked, if it is.
+    fn block_left(&self, now: Timestamp) -> Option<Span> {
+        let until = self.blocked_until()?;
+        (now < until).then(|| until.since(now))
+    }
+
     fn is_kept(&self, now: Timestamp) -> bool {
         let retention = if self.was_blocked() { BLOCKED_RETENTION } else { SUSPECT_RETENTION };
         now.since(self.newest()) <= retention
@@ -141,8 +147,7 @@
         if is_own {
             self.unreported.insert(fingerprint);
         }
-        let until = suspect.blocked_until()?;
-        (now < until).then(|| until.since(now))
+        suspect.block_left(now)
     }
 
     /// Forgets the request with the oldest crash if there are too many.
@@ -164,8 +169,7 @@
 
     /// Returns how long a request is still blocked, if it is.
     pub fn block_left(&self, now: Timestamp, fingerprint: Fingerprint) -> Option<Span> {
-        let until = self.suspects.get(&fingerprint)?.blocked_until()?;
-        (now < until).then(|| until.since(now))
+        self.suspects.get(&fingerprint)?.block_left(now)
     }
 
     /// Tells the other nodes again about a blocked request that has come back, as some of them may not know of it.
