Read the headers of a fingerprint by one closure

No behaviour: the same reading of a header stood there twice, and an array of two names was taken apart right after it was mapped. The parts and their order, so the fingerprints of mixed builds, stay the same.

--- a/crates/gateway/src/outgoing.rs
+++ b/crates/gateway/src/outgoing.rs
@@ -5,7 +5,7 @@
 use http_body_util::BodyExt;
 use hyper::{
     body::{Body, Frame, Incoming, SizeHint},
-    header::{HeaderMap, HeaderName, AUTHORIZATION, CONTENT_LENGTH, USER_AGENT},
+    header::{HeaderMap, HeaderValue, AUTHORIZATION, CONTENT_LENGTH, USER_AGENT},
     http::request::Parts,
     Method, Uri,
 };
@@ -39,21 +39,17 @@
     pub fingerprint: Fingerprint,
 }
 
-/// The headers that tell callers apart. Their addresses do not: one caller may come from several.
-const CALLER_HEADERS: [HeaderName; 2] = [AUTHORIZATION, USER_AGENT];
-
-/// Returns the fingerprint of a request to `host`. A body too long to buffer counts by its stated length only.
+/// Returns the fingerprint of a request to `host`. Callers are told apart by two headers, not by their addresses, as one
+/// caller may come from several. A body too long to buffer counts by its stated length only.
 pub fn fingerprint(host: &str, head: &Parts, body: &RequestBody) -> Fingerprint {
-    let caller =
-        CALLER_HEADERS.map(|name| head.headers.get(name).map_or(&b""[..], |v| v.as_bytes()));
+    let header = |name| head.headers.get(name).map_or(&b""[..], HeaderValue::as_bytes);
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
-    let length = head.headers.get(CONTENT_LENGTH).map_or(&b""[..], |v| v.as_bytes());
     let content = match &body.body {
         PrefixedBody { first: Some(bytes), rest: None } => bytes,
-        _ => length,
+        _ => header(CONTENT_LENGTH),
     };
     let method = head.method.as_str().as_bytes();
-    let [authorization, agent] = caller;
+    let (authorization, agent) = (header(AUTHORIZATION), header(USER_AGENT));
     Fingerprint::of(&[method, host.as_bytes(), path.as_bytes(), authorization, agent, content])
 }
 
