--- a/review/stand-ins/src/servers.rs
+++ b/review/stand-ins/src/servers.rs
@@ -46,9 +46,11 @@
     pub crashes_after: Option<usize>,
     /// What the server says of itself in the response: header lines, each with its end.
     pub notice: String,
+    /// Whether the server refuses the request when a slot is free for it, as one that is failing may do.
+    pub is_refused: bool,
 }
 
-/// A request that began to run at a server.
+/// A request that reached a server, or began to run there.
 #[derive(Clone, Debug)]
 pub struct Run {
     /// Seconds since the start of the case.
@@ -60,6 +62,8 @@
 /// What all servers saw.
 #[derive(Clone, Debug, Default)]
 pub struct Seen {
+    /// The requests that reached a server, at the time when it had read them.
+    pub arrivals: Vec<Run>,
     pub runs: Vec<Run>,
     /// The time of each end of a server, with the attempt that ended it.
     pub crashes: Vec<(f64, String)>,
@@ -171,6 +175,10 @@
     /// Serves one request. Returns `None` if the connection is to be closed.
     async fn handle(&self, socket: &mut TcpStream, request: &Request) -> Option<()> {
         let attempt = &request.attempt;
+        let at = self.site.record.now();
+        let arrival = Run { at, attempt: attempt.clone(), server: self.id.clone() };
+        self.site.record.line(&format!("server {} gets {attempt}", self.id));
+        self.seen(|seen| seen.arrivals.push(arrival));
         if !request.target.is_empty() && request.target != self.id {
             return self.refuse(socket, attempt, "421 Misdirected Request").await;
         }
@@ -179,6 +187,9 @@
         };
         let _slot = self.slots.acquire().await.ok()?;
         let work = (self.site.work)(request);
+        if work.is_refused {
+            return self.refuse(socket, attempt, "503 Service Unavailable").await;
+        }
         let at = self.site.record.now();
         self.site.record.line(&format!("server {} runs {attempt} {}", self.id, request.path));
         self.seen(|seen| {
