--- a/review/stand-ins/src/bin/order_after_close.rs
+++ b/review/stand-ins/src/bin/order_after_close.rs
@@ -29,16 +29,20 @@
 /// Orders come so fast for so long: more than the servers run (102 a second), so that some wait in the queues.
 const STEP: Duration = Duration::from_millis(100);
 const ORDERS_PER_STEP: u32 = 16;
-const STEPS: u32 = 45;
+const STEPS: u32 = 34;
 
 /// How long an order runs.
 const WORK: Duration = Duration::from_millis(1_000);
 
 /// From so long after the first order on, for so long, the servers refuse this share of the orders.
-const REFUSING_FROM: Duration = Duration::from_millis(4_000);
+const REFUSING_FROM: Duration = Duration::from_millis(3_600);
 const REFUSING_FOR: Duration = Duration::from_millis(8_500);
 const REFUSED_PERCENT: u64 = 55;
 
+/// The orders come in rounds, each with its refusals.
+const ROUNDS: u32 = 3;
+const ROUND: Duration = Duration::from_secs(14);
+
 /// When the first order is sent, after the start of the case.
 const FIRST_ORDER: Duration = Duration::from_secs(4);
 
@@ -66,7 +70,8 @@
     store.publish(&configuration(1, vec![issue]));
     let begun = Instant::now();
     let work = move |request: &Request| {
-        let time = begun.elapsed().saturating_sub(FIRST_ORDER);
+        let time = begun.elapsed().saturating_sub(FIRST_ORDER).as_micros() % ROUND.as_micros();
+        let time = Duration::from_micros(time as u64);
         let refuses = time > REFUSING_FROM && time < REFUSING_FROM + REFUSING_FOR;
         // The draw changes with time, so that another server may take what one refused.
         let draw = percent(&format!("{}-{}", request.attempt, time.as_micros()));
@@ -99,9 +104,12 @@
             return case.finish(Verdict::NotRun, "a gateway did not get ready");
         }
     }
-    tokio::time::sleep(FIRST_ORDER.saturating_sub(begun.elapsed())).await;
     let mut clients = JoinSet::new();
-    for number in 0..STEPS * ORDERS_PER_STEP {
+    for number in 0..ROUNDS * STEPS * ORDERS_PER_STEP {
+        if number % (STEPS * ORDERS_PER_STEP) == 0 {
+            let round_begins = FIRST_ORDER + ROUND * (number / (STEPS * ORDERS_PER_STEP));
+            tokio::time::sleep(round_begins.saturating_sub(begun.elapsed())).await;
+        }
         let entry = gateways[number as usize % gateways.len()].entry;
         let leaves = case.has_trouble && (number * 7) % 100 < LEAVING_PERCENT;
         let (case, attempt) = (case.clone(), format!("order-{number}"));
