--- a/review/stand-ins/src/bin/deadly_after_service.rs
+++ b/review/stand-ins/src/bin/deadly_after_service.rs
@@ -51,7 +51,9 @@
         store: store.clone(),
         record: case.record.clone(),
         seen: Arc::default(),
-        work: Arc::new(move |request: &Request| work(request, switch.load(Ordering::SeqCst))),
+        work: Arc::new(move |_: &str, request: &Request| {
+            work(request, switch.load(Ordering::SeqCst))
+        }),
         down: Duration::from_secs(2),
     };
     deadly::start_servers(&site, network).await;
--- a/review/stand-ins/src/bin/deadly_upload.rs
+++ b/review/stand-ins/src/bin/deadly_upload.rs
@@ -51,7 +51,7 @@
         store: store.clone(),
         record: case.record.clone(),
         seen: Arc::default(),
-        work: Arc::new(move |request: &Request| work(request, has_trouble)),
+        work: Arc::new(move |_: &str, request: &Request| work(request, has_trouble)),
         down: Duration::from_secs(2),
     };
     deadly::start_servers(&site, network).await;
--- a/review/stand-ins/src/bin/limit_batches.rs
+++ b/review/stand-ins/src/bin/limit_batches.rs
@@ -46,7 +46,7 @@
     let store = Arc::new(Store::start(([127, 0, 0, 1], 0).into()).await.expect("a free port"));
     let routes = vec![route("/archive/", RepeatPolicy::Idempotent, SERVICE, 6_000)];
     store.publish(&configuration(1, routes));
-    let work = move |_: &Request| Work {
+    let work = move |_: &str, _: &Request| Work {
         time: Duration::from_millis(100),
         body_length: 400,
         notice: if has_trouble { format!("Server-Limit: {LIMIT}\r\n") } else { String::new() },
--- a/review/stand-ins/src/bin/order_after_close.rs
+++ b/review/stand-ins/src/bin/order_after_close.rs
@@ -69,16 +69,17 @@
     issue.priority = 2;
     store.publish(&configuration(1, vec![issue]));
     let begun = Instant::now();
-    let work = move |request: &Request| {
+    let work = move |_: &str, request: &Request| {
         let time = begun.elapsed().saturating_sub(FIRST_ORDER).as_micros() % ROUND.as_micros();
         let time = Duration::from_micros(time as u64);
         let refuses = time > REFUSING_FROM && time < REFUSING_FROM + REFUSING_FOR;
         // The draw changes with time, so that another server may take what one refused.
         let draw = percent(&format!("{}-{}", request.attempt, time.as_micros()));
+        let is_refused = refuses && draw < REFUSED_PERCENT;
         Work {
-            time: WORK,
+            time: if is_refused { Duration::ZERO } else { WORK },
             body_length: 400,
-            is_refused: refuses && draw < REFUSED_PERCENT,
+            is_refused,
             ..Work::default()
         }
     };
--- a/review/stand-ins/src/servers.rs
+++ b/review/stand-ins/src/servers.rs
@@ -46,7 +46,7 @@
     pub crashes_after: Option<usize>,
     /// What the server says of itself in the response: header lines, each with its end.
     pub notice: String,
-    /// Whether the server refuses the request when a slot is free for it, as one that is failing may do.
+    /// Whether the server refuses the request, `time` after a slot was free for it, as one that is failing may do.
     pub is_refused: bool,
 }
 
@@ -69,14 +69,16 @@
     pub crashes: Vec<(f64, String)>,
 }
 
+/// Decides what the server of this id does with a request.
+pub type Decide = dyn Fn(&str, &Request) -> Work + Send + Sync;
+
 /// What the servers of a case share.
 #[derive(Clone)]
 pub struct Site {
     pub store: Arc<Store>,
     pub record: Record,
     pub seen: Arc<Mutex<Seen>>,
-    /// Decides what a server does with a request.
-    pub work: Arc<dyn Fn(&Request) -> Work + Send + Sync>,
+    pub work: Arc<Decide>,
     /// How long a server that crashed is away.
     pub down: Duration,
 }
@@ -180,15 +182,16 @@
         self.site.record.line(&format!("server {} gets {attempt}", self.id));
         self.seen(|seen| seen.arrivals.push(arrival));
         if !request.target.is_empty() && request.target != self.id {
-            return self.refuse(socket, attempt, "421 Misdirected Request").await;
+            return self.refuse(socket, attempt, "421 Misdirected Request", "").await;
         }
         let Ok(_place) = self.places.try_acquire() else {
-            return self.refuse(socket, attempt, "503 Service Unavailable").await;
+            return self.refuse(socket, attempt, "503 Service Unavailable", "").await;
         };
         let _slot = self.slots.acquire().await.ok()?;
-        let work = (self.site.work)(request);
+        let work = (self.site.work)(&self.id, request);
         if work.is_refused {
-            return self.refuse(socket, attempt, "503 Service Unavailable").await;
+            tokio::time::sleep(work.time).await;
+            return self.refuse(socket, attempt, "503 Service Unavailable", &work.notice).await;
         }
         let at = self.site.record.now();
         self.site.record.line(&format!("server {} runs {attempt} {}", self.id, request.path));
@@ -229,10 +232,16 @@
         std::future::pending::<()>().await;
     }
 
-    async fn refuse(&self, socket: &mut TcpStream, attempt: &str, status: &str) -> Option<()> {
+    async fn refuse(
+        &self,
+        socket: &mut TcpStream,
+        attempt: &str,
+        status: &str,
+        notice: &str,
+    ) -> Option<()> {
         self.site.record.line(&format!("server {} refuses {attempt}: {status}", self.id));
         let head = format!(
-            "HTTP/1.1 {status}\r\nX-Not-Executed: 1\r\nX-Attempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n"
+            "HTTP/1.1 {status}\r\nX-Not-Executed: 1\r\nX-Attempt-Id: {attempt}\r\n{notice}Content-Length: 0\r\n\r\n"
         );
         socket.write_all(head.as_bytes()).await.ok()
     }
