Send no order for a caller that has left

Cause: an at-most-once request runs in a task of its own, so that a send in progress is not broken off. The task outlived its caller in all respects and went on picking servers.

Change: the task asks before each send whether its caller's connection still exists: when it picks a server, before it sends again, in each pause and once a connection is open. A send in progress runs to its end. Code 2010 (caller_left) in logs and metrics.

Ruled out: a close that is noticed late (idempotent requests are broken off within 300 ms), and requests that are on their way to a full server (each late arrival follows a refusal of the same order).

--- a/crates/core/src/codes.rs
+++ b/crates/core/src/codes.rs
@@ -117,6 +117,8 @@
     NoCarrier = 2008, 503, NotRun;
     /// Servers have ended one after the other while they ran this request, so it is not sent for a while.
     CrashesServers = 2009, 503, NotRun;
+    /// The caller left before a server ran the request, so it is not sent again. Only logs and metrics have this code.
+    CallerLeft = 2010, 503, NotRun;
     /// The connection was lost after the request was sent.
     ServerLost = 3001, 502, Unknown;
     /// The deadline passed after the request was sent.
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -255,7 +255,10 @@
                 }
                 if matches!(
                     why,
-                    NotRunReason::Unreachable | NotRunReason::Unsent | NotRunReason::Left
+                    NotRunReason::Unreachable
+                        | NotRunReason::Unsent
+                        | NotRunReason::Left
+                        | NotRunReason::CallerLeft
                 ) {
                     state.arrivals -= 1;
                 }
@@ -273,10 +276,11 @@
         None
     }
 
-    /// Returns whether another send is safe, within the route's limit and in time.
+    /// Returns whether another send is safe, within the route's limit, in time and for a caller that still waits.
     fn may_send_again(&self, state: &SendState) -> bool {
         let is_safe = !(state.may_have_run && self.outgoing.at_most_once);
         is_safe
+            && !self.outgoing.caller.has_left()
             && state.sends < self.route.attempts
             && self.deadline.since(self.shared.now()) > MIN_TIME_LEFT
     }
@@ -304,6 +308,9 @@
             if self.deadline.since(self.shared.now()) <= MIN_TIME_LEFT || !self.ends_before_stop() {
                 return None;
             }
+            if self.outgoing.caller.has_left() {
+                return None;
+            }
             let is_last = self.outgoing.at_most_once || state.sends + 1 >= self.route.attempts;
             let failure_loss = if is_last { 1.0 } else { RETRIABLE_FAILURE_COST };
             if self.is_blocked() {
@@ -327,6 +334,7 @@
             let next_try = tokio::time::Instant::now() + duration(PICK_RETRY_PAUSE);
             tokio::select! {
                 () = changed => {}
+                () = self.outgoing.caller.left() => {}
                 () = tokio::time::sleep_until(next_try.min(until)) => {}
             }
         }
@@ -383,6 +391,9 @@
         if let Some(response) = state.server_error.take() {
             return final_error(response);
         }
+        if !state.may_have_run && self.outgoing.caller.has_left() {
+            return RequestResult::Failure(ResultCode::CallerLeft);
+        }
         if !state.may_have_run && self.is_blocked() {
             return RequestResult::Failure(ResultCode::CrashesServers);
         }
@@ -445,8 +456,11 @@
     /// Counts the end of the request in the outcomes of its service.
     ///
     /// A failure at a server that was tried only for the floor is not counted: a high share of unserved requests causes
-    /// such trials, so counting their failures would cause further trials.
+    /// such trials, so counting their failures would cause further trials. Nor is a request whose caller left.
     fn count_outcome(&self, result: &RequestResult, state: &SendState) {
+        if matches!(result, RequestResult::Failure(ResultCode::CallerLeft)) {
+            return;
+        }
         let is_served = matches!(result, RequestResult::Response(response) if !response.status.is_server_error());
         let was_trial = state.last_choice.as_ref().is_some_and(|choice| choice.is_trial);
         if is_served || !was_trial {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 
 pub mod accept;
+pub mod caller;
 pub mod clock;
 pub mod connection_state;
 mod datagram;
--- a/crates/gateway/src/outgoing.rs
+++ b/crates/gateway/src/outgoing.rs
@@ -1,6 +1,6 @@
 //! Requests as they are sent to backend servers, and their bodies.
 
-use crate::prefixed_body::PrefixedBody;
+use crate::{caller::CallerWatch, prefixed_body::PrefixedBody};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::{
@@ -37,6 +37,8 @@
     pub at_most_once: bool,
     /// Recognises the request when its caller sends it again.
     pub fingerprint: Fingerprint,
+    /// Whether the caller is still connected.
+    pub caller: CallerWatch,
 }
 
 /// Returns the fingerprint of a request to `host`. Callers are told apart by two headers, not by their addresses, as one
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,6 +1,7 @@
 //! Handling of one caller's request: finds its route, service and deadline, forwards it, and builds the reply.
 
 use crate::{
+    caller::{CallerGuard, CallerWatch},
     clock::duration,
     connection_state::BusyGuard,
     forwarding::{RequestResult, RoutedRequest},
@@ -46,9 +47,10 @@
         .unwrap_or_default()
         .into();
     busy.set_attempt(&attempt);
+    let (_caller_guard, caller) = CallerGuard::new();
     let is_head = request.method() == Method::HEAD;
     let mut target = None;
-    let result = match prepare(&shared, request, started_at, &attempt).await {
+    let result = match prepare(&shared, request, started_at, &attempt, caller).await {
         Ok((routed, body)) => {
             target = Some((routed.outgoing.service.clone(), routed.outgoing.fingerprint));
             forward_or_detach(&shared, routed, body).await
@@ -103,6 +105,7 @@
     request: Request<Incoming>,
     started_at: Timestamp,
     attempt: &Arc<str>,
+    caller: CallerWatch,
 ) -> Result<(RoutedRequest, RequestBody), ResultCode> {
     let routing_config = wait_for_configuration(shared).await.ok_or(ResultCode::NotReady)?;
     let (mut head, body) = request.into_parts();
@@ -142,6 +145,7 @@
         service,
         at_most_once,
         fingerprint,
+        caller,
     };
     let routed = RoutedRequest {
         shared: shared.clone(),
@@ -166,8 +170,9 @@
     }
 }
 
-/// Forwards a request. One that must run at most once continues after its caller has disconnected, because cancelling
-/// it would leave its effect unknown. Any other is cancelled with its caller's connection.
+/// Forwards a request. The send of one that must run at most once continues after its caller has disconnected, because
+/// cancelling it would leave its effect unknown; no further send begins then. Any other request is cancelled with its
+/// caller's connection.
 async fn forward_or_detach(
     shared: &Arc<Shared>,
     routed: RoutedRequest,
--- a/crates/gateway/src/server_send.rs
+++ b/crates/gateway/src/server_send.rs
@@ -53,6 +53,8 @@
     Misdirected,
     /// The server left after it had been chosen, and the request was not sent.
     Left,
+    /// The caller left after the server had been chosen, and the request was not sent.
+    CallerLeft,
 }
 
 /// The body of a server's response.
@@ -109,8 +111,8 @@
             return SendResult::NotRun(NotRunReason::Unreachable);
         }
     };
-    if in_flight.has_server_left() {
-        return SendResult::NotRun(NotRunReason::Left);
+    if let Some(reason) = reason_not_to_send(&in_flight, request) {
+        return SendResult::NotRun(reason);
     }
     let was_reused = connection.was_used;
     match send_request(shared, choice, request, body, deadline, connection, &mut in_flight).await {
@@ -120,8 +122,8 @@
                 in_flight.observe(Observation::Unreachable);
                 return SendResult::NotRun(NotRunReason::Unreachable);
             };
-            if in_flight.has_server_left() {
-                return SendResult::NotRun(NotRunReason::Left);
+            if let Some(reason) = reason_not_to_send(&in_flight, request) {
+                return SendResult::NotRun(reason);
             }
             let body = retry_body.unwrap_or_default();
             let result =
@@ -136,6 +138,14 @@
     }
 }
 
+/// Returns why the request must not be sent now that a connection is there, although it was right to open it.
+fn reason_not_to_send(in_flight: &InFlightSend, request: &OutgoingRequest) -> Option<NotRunReason> {
+    if in_flight.has_server_left() {
+        return Some(NotRunReason::Left);
+    }
+    request.caller.has_left().then_some(NotRunReason::CallerLeft)
+}
+
 async fn get_connection(
     shared: &Shared,
     choice: &Choice,
