Divide the connections of a server by the known nodes

What callers could see: while groups of nodes do not hear each other, each node took its part of a server's connections of the group alone, so that together they could open all of them several times, and the server resets what is beyond (same class as the retry budget).

Cause: the most requests in flight at a server were its connections divided by the nodes heard at the moment.

Evidence: the new test gave 165 instead of 36 of 330 connections with the division by the nodes heard.

--- a/crates/core/src/process/server_limit.rs
+++ b/crates/core/src/process/server_limit.rs
@@ -58,6 +58,13 @@
     pub known: u32,
 }
 
+impl NodeCounts {
+    /// Returns one node's part of a number that all nodes share. It does not grow while others are cut off.
+    pub fn part_of(self, total: u32) -> u32 {
+        total / self.known.max(1)
+    }
+}
+
 impl Default for NodeCounts {
     fn default() -> Self {
         NodeCounts { live: 1, known: 1 }
--- a/crates/core/tests/peer_table.rs
+++ b/crates/core/tests/peer_table.rs
@@ -253,3 +253,13 @@
     /// Guards against a node cut off from the restored store that reads instead of those that it responds to.
     store_is_left_to_nodes_of_a_later_era: (&[1, 2], 0) => (false, false),
 }
+
+/// Guards against groups of nodes that do not hear each other and open all connections of a server once each.
+#[test]
+fn part_of_the_connections_does_not_grow_while_others_are_cut_off() {
+    let mut peers = peers();
+    assert_eq!(peers.node_counts(at(100)).part_of(330), 36);
+    peers.record_status(at(20_000), addr(1), status(1, "a", NodeState::Ready));
+    assert_eq!(peers.live_count(at(20_100)), 2);
+    assert_eq!(peers.node_counts(at(20_100)).part_of(330), 36);
+}
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -361,7 +361,7 @@
         let connections =
             routing_config.as_ref()?.service(service).map_or(u32::MAX, |s| s.connections);
         let mut fleet = shared.fleet();
-        let nodes = fleet.peers.live_count(now) as u32;
+        let nodes = fleet.peers.node_counts(now);
         let Fleet { registry, rng, response_sizes, .. } = &mut *fleet;
         let response_bytes =
             response_sizes.get(&self.route.name).copied().unwrap_or(DEFAULT_RESPONSE_BYTES);
@@ -372,7 +372,7 @@
             failure_loss,
             bytes: response_bytes + EXCHANGE_OVERHEAD_BYTES,
             tried,
-            max_in_flight: (connections / nodes).max(MIN_IN_FLIGHT_LIMIT),
+            max_in_flight: nodes.part_of(connections).max(MIN_IN_FLIGHT_LIMIT),
             max_response_time,
         };
         picker::pick(&shared.picker_options, registry, now, &pick_request, rng)
