Bound the memory of collected responses and of sockets

Cause: each response was collected up to 640 KiB without a bound on the sum, and the buffers of sockets grew to megabytes each for callers that read slower than servers send.

Receive buffers of server connections and send buffers of callers' connections are 64 KiB.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -37,6 +37,10 @@
 /// The length of the queue of connections that wait to be accepted. A full queue delays a caller by seconds.
 const BACKLOG: u32 = 1_024;
 
+/// The send buffer of a caller's socket, in bytes. By default the system lets it grow to megabytes for a caller that reads
+/// slowly, and all of it counts as memory of the VM.
+const SEND_BUFFER: u32 = 64 * 1024;
+
 /// The smallest buffer for reading a head, in bytes.
 const MIN_HEAD_BUFFER: usize = 8 * 1024;
 
@@ -138,6 +142,8 @@
     let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
     let socket = socket.map_err(listen)?;
     socket.set_reuseaddr(true).map_err(listen)?;
+    // Accepted sockets inherit the size.
+    socket.set_send_buffer_size(SEND_BUFFER).map_err(listen)?;
     socket.bind(addr).map_err(listen)?;
     socket.listen(BACKLOG).map_err(listen)
 }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -1,6 +1,9 @@
 //! Accounting of one send in flight: the load that it adds, and the health observations that it yields.
 
-use crate::{outgoing::OutgoingRequest, pool::ServerConnection, shared::Shared};
+use crate::{
+    outgoing::OutgoingRequest, pool::ServerConnection, response_memory::ResponseMemory,
+    shared::Shared,
+};
 use rand::Rng;
 use redwingtrestle_core::{
     process::{
@@ -170,6 +173,11 @@
         tokio::spawn(async move { returns.put_back(connection).await });
     }
 
+    /// Returns the memory for collected responses.
+    pub fn response_memory(&self) -> Arc<ResponseMemory> {
+        self.shared.response_memory.clone()
+    }
+
     /// Returns the way back to the pool for the connection of this send.
     pub fn connection_return(&self) -> ConnectionReturn {
         ConnectionReturn { shared: self.shared.clone(), id: self.id.clone() }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod prefixed_body;
 pub mod reply;
 pub mod request;
+pub mod response_memory;
 pub mod saved_state;
 mod server_notice;
 pub mod server_send;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -14,7 +14,10 @@
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::{net::TcpStream, task::AbortHandle};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::AbortHandle,
+};
 
 /// The connect timeout. A lost SYN is sent again only after a second, and trying another server is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -23,6 +26,10 @@
 /// can take with a head that does not end.
 const MAX_READ_BUFFER: usize = 64 * 1024;
 
+/// The receive buffer of a connection's socket, in bytes. By default the system lets it grow to megabytes, and all of it
+/// counts as memory of the VM while a caller reads slower than its server sends.
+const RECEIVE_BUFFER: u32 = 64 * 1024;
+
 /// The longest idle time of a pooled connection, and its default if the server states no keep-alive time.
 const MAX_IDLE: Span = Span::from_secs(7);
 
@@ -62,7 +69,7 @@
 impl ServerConnection {
     /// Opens a connection.
     pub async fn connect(addr: SocketAddr) -> io::Result<ServerConnection> {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, open_socket(addr));
         let socket = connecting.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         socket.set_nodelay(true)?;
         let handshake =
@@ -95,6 +102,12 @@
     }
 }
 
+async fn open_socket(addr: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
+    socket.connect(addr).await
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: ServerConnection,
--- a/crates/gateway/src/server_send.rs
+++ b/crates/gateway/src/server_send.rs
@@ -8,10 +8,11 @@
     pool::{keep_alive_timeout, ServerConnection},
     prefixed_body::PrefixedBody,
     reply::StreamedResponse,
+    response_memory::{CollectedBytes, ResponseMemory},
     server_notice,
     shared::Shared,
 };
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
     body::{Body, Incoming},
@@ -303,7 +304,8 @@
     );
     let closes =
         head.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-    let buffered = watch_for_slowness(shared, service, &mut in_flight, buffer_body(body)).await;
+    let collecting = buffer_body(body, &shared.response_memory);
+    let buffered = watch_for_slowness(shared, service, &mut in_flight, collecting).await;
     let body = match buffered {
         Ok(BufferedBody::Whole(bytes)) => {
             if !closes {
@@ -312,6 +314,11 @@
             ResponseBody::Whole(bytes)
         }
         Ok(BufferedBody::Part(first, rest)) => {
+            if !shared.response_memory.has_room() {
+                log::info!(target: "requests", attempt = in_flight.attempt(), server = in_flight.server(),
+                    collected = first.len();
+                    "collected responses take all their memory, so this one is streamed from here on");
+            }
             let status = head.status;
             let deadline = Box::pin(tokio::time::sleep(duration(deadline.since(shared.now()))));
             let body = PrefixedBody { first: Some(first), rest: Some(rest) };
@@ -363,9 +370,9 @@
     }
     in_flight.record_refusal();
     let Some(connection) = kept else { return SendResult::NotRun(NotRunReason::Shed) };
-    let returns = in_flight.connection_return();
+    let (returns, memory) = (in_flight.connection_return(), in_flight.response_memory());
     tokio::spawn(async move {
-        let rest = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, buffer_body(body)).await;
+        let rest = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, buffer_body(body, &memory)).await;
         if let Ok(Ok(BufferedBody::Whole(_))) = rest {
             returns.put_back(connection).await;
         }
@@ -378,18 +385,22 @@
     Part(Bytes, Incoming),
 }
 
-/// Reads a body to its end, or until it is longer than [`MAX_BUFFERED_RESPONSE`].
-async fn buffer_body(mut body: Incoming) -> Result<BufferedBody, hyper::Error> {
+/// Reads a body to its end, or until it is longer than [`MAX_BUFFERED_RESPONSE`] or all collected responses take too much
+/// memory.
+async fn buffer_body(
+    mut body: Incoming,
+    memory: &Arc<ResponseMemory>,
+) -> Result<BufferedBody, hyper::Error> {
     let stated = body.size_hint().exact();
     if stated.is_some_and(|length| length > MAX_BUFFERED_RESPONSE as u64) {
         return Ok(BufferedBody::Part(Bytes::new(), body));
     }
-    let mut bytes = BytesMut::new();
+    let mut bytes = CollectedBytes::new(memory);
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame?.into_data() {
-            bytes.extend_from_slice(&data);
+            bytes.extend(&data);
         }
-        if bytes.len() > MAX_BUFFERED_RESPONSE {
+        if bytes.len() > MAX_BUFFERED_RESPONSE || !memory.has_room() {
             return Ok(BufferedBody::Part(bytes.freeze(), body));
         }
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,9 @@
 //! The state that the threads of a gateway process share.
 
-use crate::{clock::Clock, header_names::HeaderNames, pool::ConnectionPool, settings::Settings};
+use crate::{
+    clock::Clock, header_names::HeaderNames, pool::ConnectionPool, response_memory::ResponseMemory,
+    settings::Settings,
+};
 use arc_swap::ArcSwapOption;
 use rand::{rngs::StdRng, SeedableRng};
 use redwingtrestle_core::{
@@ -114,6 +117,8 @@
     pub routing_config: ArcSwapOption<RoutingConfig>,
     /// The pool of idle connections to backend servers.
     pub pool: ConnectionPool,
+    /// The memory for collected responses.
+    pub response_memory: Arc<ResponseMemory>,
     /// The phase of the process.
     pub phase: watch::Sender<Phase>,
     /// Wakes requests that wait for a server or for the first configuration.
@@ -169,6 +174,7 @@
             picker_options,
             routing_config: ArcSwapOption::empty(),
             pool: ConnectionPool::default(),
+            response_memory: Arc::default(),
             phase: watch::Sender::new(Phase::Running),
             changed: Notify::new(),
             report_now: Notify::new(),
--- a/crates/gateway/tests/common/endless.rs
+++ b/crates/gateway/tests/common/endless.rs
@@ -12,7 +12,7 @@
 };
 use tokio::{
     io::AsyncWriteExt,
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
 };
 
 /// The pause between two pieces of a trickle.
@@ -31,6 +31,8 @@
     Informational,
     /// The chunks of a body.
     Chunks,
+    /// The chunks of a body, 64 KiB each.
+    LargeChunks,
     /// Bytes after a complete response.
     BytesAfterBody,
     /// Bytes that begin before the request arrives.
@@ -56,7 +58,7 @@
 impl EndlessServer {
     /// Starts a server that answers `served` requests before its first endless response.
     pub(crate) async fn start(name: &str, endless: Endless, served: u32) -> EndlessServer {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let listener = bind_with_small_buffers();
         let server = EndlessServer {
             id: ServerId(name.into()),
             addr: listener.local_addr().unwrap(),
@@ -95,6 +97,14 @@
     }
 }
 
+/// Binds a free address with small send buffers, so that what is sent is soon held by the gateway's machine.
+fn bind_with_small_buffers() -> TcpListener {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_send_buffer_size(16 * 1024).unwrap();
+    socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+    socket.listen(1_024).unwrap()
+}
+
 fn response_head(id: &str, framing: &str) -> String {
     format!("HTTP/1.1 200 OK\r\nredwing-request-id: {id}\r\nredwing-signature: s\r\n{framing}\r\n")
 }
@@ -135,6 +145,11 @@
                 format!("3e8\r\n{long}\r\n"),
                 Duration::ZERO,
             ),
+            Endless::LargeChunks => (
+                response_head(&id, "transfer-encoding: chunked\r\n"),
+                format!("10000\r\n{}\r\n", "x".repeat(65_536)),
+                Duration::ZERO,
+            ),
             Endless::BytesAfterBody => (whole, long, Duration::ZERO),
             Endless::TrickledHead => ("HTTP/1.1 200 OK\r\nx: ".into(), "x".into(), TRICKLE_PAUSE),
             Endless::TrickledBody => {
