--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod endless;
 mod gateway;
 mod http;
+mod memory;
 mod routing;
 pub(crate) mod scripted;
 mod store;
@@ -19,6 +20,7 @@
     caller::{get, post, Caller, Reply},
     gateway::TestGateway,
     http::{header, read_request, ReceivedRequest},
+    memory::resident_bytes,
     routing::routing_config,
     store::MemoryStore,
 };
--- a/crates/gateway/tests/endless_bytes.rs
+++ b/crates/gateway/tests/endless_bytes.rs
@@ -5,7 +5,7 @@
 
 use common::{
     endless::{Endless, EndlessServer},
-    get, post, Backend, Behaviour, Caller, TestGateway,
+    get, post, resident_bytes, Backend, Behaviour, Caller, TestGateway,
 };
 use redwingtrestle_core::process::registration::{Registration, RegistrationState};
 use std::time::Duration;
@@ -217,11 +217,3 @@
     let grown = resident_bytes().saturating_sub(before);
     assert!(grown < 64 << 20, "{grown} bytes");
 }
-
-/// Returns the resident memory of this process, in bytes.
-fn resident_bytes() -> u64 {
-    let text = std::fs::read_to_string("/proc/self/status").expect("the process's status");
-    let line = text.lines().find(|line| line.starts_with("VmRSS:")).expect("a resident size");
-    let kib: u64 = line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("a number");
-    kib * 1024
-}
--- a/crates/gateway/tests/endless_memory.rs
+++ b/crates/gateway/tests/endless_memory.rs
@@ -4,7 +4,7 @@
 
 use common::{
     endless::{Endless, EndlessServer},
-    get, Backend, Behaviour, Caller, TestGateway,
+    get, resident_bytes, Backend, Behaviour, Caller, TestGateway,
 };
 use redwingtrestle_core::process::registration::{Registration, RegistrationState};
 use std::time::Duration;
@@ -49,11 +49,3 @@
     drop(callers);
     gateway.wait_until("the connections are closed", || server.open_connections() == 0).await;
 }
-
-/// Returns the resident memory of this process, in bytes.
-fn resident_bytes() -> u64 {
-    let text = std::fs::read_to_string("/proc/self/status").expect("the process's status");
-    let line = text.lines().find(|line| line.starts_with("VmRSS:")).expect("a resident size");
-    let kib: u64 = line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("a number");
-    kib * 1024
-}
