--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -18,7 +18,7 @@
     backend::Backend,
     behaviour::{Behaviour, LARGE_BODY},
     caller::{get, post, Caller, Reply},
-    gateway::TestGateway,
+    gateway::{own_loopback_ip, TestGateway},
     http::{header, read_request, ReceivedRequest},
     memory::resident_bytes,
     routing::routing_config,
--- a/crates/gateway/tests/restored_store.rs
+++ b/crates/gateway/tests/restored_store.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{routing_config, Backend, Behaviour, MemoryStore, TestGateway};
+use common::{own_loopback_ip, routing_config, Backend, Behaviour, MemoryStore, TestGateway};
 use jsonrpsee::{server::RpcModule, types::ErrorObjectOwned};
 use redwingtrestle_core::process::{
     registration::RegistrationState, stream_position::StreamPosition,
@@ -234,7 +234,8 @@
     let gateway = TestGateway::with_store(store).await;
     gateway.wait_until("the server is known", || usable(&gateway) == 1).await;
     start_gossip(&gateway).await;
-    let old = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    // On an address of its own the port that is free for UDP is free for TCP as well.
+    let old = UdpSocket::bind((own_loopback_ip(), 0)).await.expect("a free port");
     let mut module = RpcModule::new(());
     module
         .register_method("gateway.state", |params, (), _| {
