--- a/review/programs-2/src/backend.rs
+++ b/review/programs-2/src/backend.rs
@@ -32,12 +32,10 @@
     pub at: f64,
 }
 
-/// How a server works and what its answers say.
+/// How a server works.
 #[derive(Clone, Debug)]
 pub struct Behaviour {
     pub work: Duration,
-    /// The value of `Server-Limit` in all answers.
-    pub limit: Option<String>,
     /// The path of a request that ends each server which begins to run it.
     pub deadly: Option<String>,
 }
@@ -180,9 +178,8 @@
     async fn answer(&self, head: &str) -> String {
         let attempt = header(head, "x-attempt-id").unwrap_or_default().to_string();
         let target = header(head, "x-target-instance");
-        let Behaviour { work, limit, deadly } = lock(&self.behaviour).clone();
-        let limit = limit.map_or(String::new(), |value| format!("Server-Limit: {value}\r\n"));
-        let echo = format!("X-Attempt-Id: {attempt}\r\nX-Instance-Id: {}\r\n{limit}", self.id);
+        let Behaviour { work, deadly } = lock(&self.behaviour).clone();
+        let echo = format!("X-Attempt-Id: {attempt}\r\nX-Instance-Id: {}\r\n", self.id);
         if target.is_some_and(|target| target != self.id) {
             return format!("HTTP/1.1 421 Misdirected Request\r\n{echo}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
         }
--- a/review/programs-2/src/fleet.rs
+++ b/review/programs-2/src/fleet.rs
@@ -106,9 +106,12 @@
     one_route("orders", RepeatPolicy::Once, service, version, services)
 }
 
-/// Returns a configuration whose only route sends documents, which may run again, to `service`.
-pub fn documents_to(service: &str, version: u64, services: &[&str]) -> RoutingConfigDoc {
-    one_route("documents", RepeatPolicy::Idempotent, service, version, services)
+/// Returns a configuration that sends orders, which run at most once, and documents, which may run again, to `service`.
+pub fn orders_and_documents_to(service: &str) -> RoutingConfigDoc {
+    let mut doc = orders_to(service, 1, &[service]);
+    let documents = one_route("documents", RepeatPolicy::Idempotent, service, 1, &[service]);
+    doc.routes.extend(documents.routes);
+    doc
 }
 
 fn one_route(
--- a/review/programs-2/src/fraction.rs
+++ b/review/programs-2/src/fraction.rs
@@ -25,7 +25,7 @@
     }
     record.say(&format!("graceS of the platform is {}", bounds["graceS"]));
     let store = site.store().await?;
-    let behaviour = Behaviour { work: Duration::from_millis(50), limit: None, deadly: None };
+    let behaviour = Behaviour { work: Duration::from_millis(50), deadly: None };
     let names = ["i-1", "orders", "a"];
     let backend = Backend::start(record, names, site.any_port(2), behaviour).await;
     let backend = backend.map_err(|e| e.to_string())?;
--- a/review/programs-2/src/headers.rs
+++ b/review/programs-2/src/headers.rs
@@ -27,7 +27,7 @@
 pub async fn run(site: &Site, has_trouble: bool) -> Result<Verdict, String> {
     let record = &site.record;
     let store = site.store().await?;
-    let behaviour = Behaviour { work: Duration::from_millis(50), limit: None, deadly: None };
+    let behaviour = Behaviour { work: Duration::from_millis(50), deadly: None };
     for number in 1..=4 {
         let names = [&*format!("i-{number}"), "orders", "a"];
         let backend = Backend::start(record, names, site.any_port(2), behaviour.clone()).await;
--- a/review/programs-2/src/link.rs
+++ b/review/programs-2/src/link.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::watch,
 };
@@ -17,6 +17,7 @@
 pub struct Link {
     pub addr: SocketAddr,
     is_cut: Arc<watch::Sender<bool>>,
+    is_down: Arc<watch::Sender<bool>>,
     /// When the gateway last asked for new records of a topic.
     waits: Arc<Mutex<HashMap<&'static str, Instant>>>,
 }
@@ -30,6 +31,7 @@
         let link = Link {
             addr: listener.local_addr()?,
             is_cut: Arc::new(watch::Sender::new(false)),
+            is_down: Arc::new(watch::Sender::new(false)),
             waits: Arc::default(),
         };
         let relay = link.clone();
@@ -47,6 +49,12 @@
         self.is_cut.send_replace(is_cut);
     }
 
+    /// Makes the store give the gateway no response, or ends that. A connection that was open meanwhile returns nothing
+    /// further; new ones work.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.send_replace(is_down);
+    }
+
     /// Returns how long ago the gateway began its newest wait for records, for the older one of the two topics.
     pub fn longest_wait(&self) -> Option<Duration> {
         let waits = self.waits.lock().unwrap_or_else(PoisonError::into_inner);
@@ -58,18 +66,24 @@
         self.wait_until_whole().await;
         let Ok(onward) = TcpStream::connect(store).await else { return };
         let _ = (socket.set_nodelay(true), onward.set_nodelay(true));
-        let (from_gateway, to_gateway) = socket.into_split();
+        let (mut from_gateway, mut to_gateway) = socket.into_split();
         let (from_store, to_store) = onward.into_split();
-        let up = self.clone();
-        let upward = tokio::spawn(async move { up.copy(from_gateway, to_store, true).await });
-        self.copy(from_store, to_gateway, false).await;
-        upward.abort();
+        let mut is_down = self.is_down.subscribe();
+        tokio::select! {
+            biased;
+            _ = is_down.wait_for(|is_down| *is_down) => {}
+            () = self.copy(&mut from_gateway, to_store, true) => return,
+            () = self.copy(from_store, &mut to_gateway, false) => return,
+        }
+        // Reads on until the gateway closes the connection.
+        let mut buffer = vec![0; 16 * 1024];
+        while let Ok(1..) = from_gateway.read(&mut buffer).await {}
     }
 
     async fn copy(
         &self,
-        mut from: tokio::net::tcp::OwnedReadHalf,
-        mut to: tokio::net::tcp::OwnedWriteHalf,
+        mut from: impl AsyncRead + Unpin,
+        mut to: impl AsyncWrite + Unpin,
         is_request: bool,
     ) {
         let mut buffer = vec![0; 16 * 1024];
--- a/review/programs-2/src/main.rs
+++ b/review/programs-2/src/main.rs
@@ -11,8 +11,8 @@
 mod fraction;
 mod gateway;
 mod headers;
-mod limit;
 mod link;
+mod lost_reader;
 mod readers;
 mod record;
 mod template;
@@ -79,7 +79,7 @@
         "deadly" => deadly::run(site, has_trouble).await,
         "fraction" => fraction::run(site, has_trouble).await,
         "headers" => headers::run(site, has_trouble).await,
-        "limit" => limit::run(site, has_trouble).await,
+        "lost_reader" => lost_reader::run(site, has_trouble).await,
         "readers" => readers::run(site, has_trouble).await,
         other => Err(format!("there is no case {other}")),
     }
--- a/review/programs-2/src/readers.rs
+++ b/review/programs-2/src/readers.rs
@@ -37,7 +37,7 @@
 pub async fn run(site: &Site, has_trouble: bool) -> Result<Verdict, String> {
     let record = &site.record;
     let store = site.store().await?;
-    let behaviour = Behaviour { work: Duration::from_millis(100), limit: None, deadly: None };
+    let behaviour = Behaviour { work: Duration::from_millis(100), deadly: None };
     let mut backends = Vec::new();
     for (id, service) in [("i-old", "old"), ("i-new", "new")] {
         let names = [id, service, "a"];
