--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
-# One caller comes to each gateway after a quiet time, to a server that names a limit.
-# Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# The platform's bounds have a fraction.
+# TROUBLE=0 leaves the disruption out. Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/review-case-2
 for file in "$program" target/release/redwingd; do
   [ -x "$file" ] || { echo "$file is missing: build deploy/system.toml, then run review/build-2.sh"; exit 2; }
 done
-"$program" limit review/10 &
+"$program" fraction review/10 &
 case_pid=$!
 # The program ends all processes that it started.
 trap 'kill "$case_pid" 2>/dev/null' TERM INT
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # A request that ends each server which begins to run it comes again and again.
-# Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 leaves the disruption out. Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/review-case-2
 for file in "$program" target/release/redwingd; do
