Start with bounds that have a fraction

Cause: the settings took a platform's bounds for whole numbers, and one value that cannot be used refused the whole file. The template made milliseconds by appending zeros (6.5000), and a bound that is missing or true gave a file that is no JSON. retrySlack and retryWindowS failed likewise with fractions, so the zeros are not the cause alone.

The checks of the settings moved to a reader that knows which faults refuse the file.

--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -28,6 +28,11 @@
         Span(secs.saturating_mul(1_000_000))
     }
 
+    /// Returns a span of `secs` seconds, rounded down to microseconds. A negative number or NaN gives 0.
+    pub fn from_secs_f64(secs: f64) -> Self {
+        Span((secs * 1e6) as u64)
+    }
+
     /// Returns the span in microseconds.
     pub const fn as_micros(self) -> u64 {
         self.0
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
     gossip::Gossip,
     header_names::HeaderNames,
     http_api, logs, peer_rpc, saved_state,
-    settings::Settings,
+    settings::{Fault, ReadSettings, Settings},
     shared::Shared,
     signals::{ProcessSignal, Signals},
     stop,
@@ -98,11 +98,12 @@
 /// Reads the settings again and logs whether they changed. Changes take effect at the next start.
 fn check_settings(path: &Path, cause: &str, current: &mut Settings) {
     match Settings::read(path) {
-        Ok(settings) if settings == *current && cause != "SIGHUP" => {}
-        Ok(settings) => {
+        Ok(ReadSettings { settings, .. }) if settings == *current && cause != "SIGHUP" => {}
+        Ok(ReadSettings { settings, replaced }) => {
             let is_changed = settings != *current;
             log::info!(target: "process", cause, is_changed;
                 "settings read again, changes take effect at the next start");
+            log_replaced(&replaced);
             *current = settings;
         }
         Err(faults) => {
@@ -113,3 +114,11 @@
         }
     }
 }
+
+/// Logs the settings that are not used as they stand in the file.
+pub fn log_replaced(faults: &[Fault]) {
+    for fault in faults {
+        log::error!(target: "process", code = fault.code.number();
+            "a setting cannot be used, its default holds: {fault}");
+    }
+}
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -5,6 +5,7 @@
     append::Append, filter::rustlog::RustLogFilterBuilder, layout::JsonLayout, record::Record,
     Diagnostic, Error, Layout,
 };
+use redwingtrestle_core::codes::ResultCode;
 use std::{
     io::Write,
     sync::{
@@ -109,9 +110,10 @@
     if QUEUE.set(queue.clone()).is_err() {
         return Ok(());
     }
-    let filter = RustLogFilterBuilder::try_from_spec(filter)
-        .unwrap_or_else(|_| RustLogFilterBuilder::from_spec(DEFAULT_FILTER))
-        .build();
+    let parsed = RustLogFilterBuilder::try_from_spec(filter);
+    let invalid = parsed.as_ref().err().map(ToString::to_string);
+    let default = |_| RustLogFilterBuilder::from_spec(DEFAULT_FILTER);
+    let filter = parsed.unwrap_or_else(default).build();
     let append = LineQueueAppend { layout: JsonLayout::default(), queue: queue.clone() };
     let started =
         logforth::starter_log::builder().dispatch(|d| d.filter(filter).append(append)).try_apply();
@@ -125,6 +127,11 @@
         }
     })?;
     let _ = queue.writer.set(handle.thread().clone());
+    if let Some(e) = invalid {
+        log::error!(target: "process",
+            code = ResultCode::SettingsValue.number();
+            "the filter of log lines is invalid, the default holds: {e}");
+    }
     Ok(())
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -343,8 +343,8 @@
         let budget = fleet.retry_budgets.entry(service.clone()).or_insert_with(|| {
             let options = FleetRetryOptions {
                 ratio: settings.retry_ratio,
-                floor: settings.retry_floor as f64,
-                window: Span::from_secs(settings.retry_window_s),
+                floor: settings.retry_floor,
+                window: settings.retry_window,
             };
             NodeRetryBudget::new(self.started, options)
         });
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -20,7 +20,7 @@
 pub async fn stop(shared: &Arc<Shared>) {
     let settings = &shared.settings;
     let ttl = Span::from_secs(settings.entries_ttl_s);
-    let plan = StopPlan::new(Span::from_millis(settings.stop_ms), ttl);
+    let plan = StopPlan::new(settings.max_stop, ttl);
     log::info!(target: "process", node = settings.node.as_str(), open = shared.open_count(),
         leaving_ms = plan.leaving.as_millis(), closing_ms = plan.closing.as_millis();
         "planned stop begins");
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -3,7 +3,10 @@
 #![forbid(unsafe_code)]
 
 use argh::FromArgs;
-use redwingtrestle_gateway::{gateway, settings::Settings as GatewaySettings};
+use redwingtrestle_gateway::{
+    gateway,
+    settings::{ReadSettings, Settings as GatewaySettings},
+};
 use redwingtrestle_node::{
     demo::Demo,
     logging,
@@ -108,9 +111,12 @@
     }
 }
 
+fn lines(faults: &[impl ToString]) -> String {
+    faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
+}
+
 fn read_settings(path: &Path) -> Result<Settings, String> {
-    Settings::read(path)
-        .map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))
+    Settings::read(path).map_err(|faults| lines(&faults))
 }
 
 fn check_settings(path: &Path) -> Result<(), String> {
@@ -129,17 +135,26 @@
 }
 
 fn run_gateway(args: &Gateway) -> Result<(), String> {
-    let settings = GatewaySettings::read(&args.settings)
-        .map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))?;
+    let read = GatewaySettings::read(&args.settings).map_err(|faults| lines(&faults))?;
     if args.check {
-        println!("{} is valid", args.settings.display());
-        return Ok(());
+        return check_gateway(args, &read);
     }
+    let ReadSettings { settings, replaced } = read;
     redwingtrestle_gateway::logs::start(&settings.log_filter).map_err(|e| e.to_string())?;
+    gateway::log_replaced(&replaced);
     let store = StoreClient::new(settings.store).map_err(|e| e.to_string())?;
     gateway::run(settings, &args.settings, store, header_names()).map_err(|e| e.to_string())
 }
 
+/// A check is stricter than a start, which replaces what cannot be used.
+fn check_gateway(args: &Gateway, read: &ReadSettings) -> Result<(), String> {
+    if !read.replaced.is_empty() {
+        return Err(lines(&read.replaced));
+    }
+    println!("{} is valid", args.settings.display());
+    Ok(())
+}
+
 fn run_demo(args: &DemoRun) -> Result<(), String> {
     logging::start(logging::DEFAULT_FILTER);
     let fail_after = args.fail_after.map(Duration::from_secs);
