Ask the store when no node has heard from it lately

Cause: a node relied on readers that say that the store responds to them, and a reader says so until its call fails: 3 s on the writer, 26 s on the others. A call that is lost looks like one that waits.

Change: nodes tell each other the newest contact of any node with the store, with its age. A node that knows of none of the last 1.3 to 1.55 s asks the store itself, on a new connection, with a call that does not wait. A contact counts when it is first heard of; otherwise it would get younger on its way around.

Ruled out: that the followers hear in time and are slow to read. In the tests no node but the readers called the store before.

--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -35,6 +35,7 @@
 pub mod slot_leases;
 pub mod start_marks;
 pub mod stop_plan;
+pub mod store_contact;
 pub mod stream_position;
 pub mod stream_watch;
 mod token_bucket;
--- a/crates/core/src/process/stream_watch.rs
+++ b/crates/core/src/process/stream_watch.rs
@@ -1,6 +1,9 @@
 //! Decides how a node watches a stream of records in the platform's store.
 
-use crate::{process::stream_position::StreamPosition, time::Span};
+use crate::{
+    process::{store_contact::MAX_CONTACT_AGE, stream_position::StreamPosition},
+    time::{Span, Timestamp},
+};
 use rand::Rng;
 
 /// Backoff after the first failed call.
@@ -27,6 +30,20 @@
     failures: u32,
     /// Snapshots that were due since the last records.
     expirations: u32,
+    last_response: Option<Timestamp>,
+}
+
+/// How a node watches a stream, which follows from what it knows of the other nodes' watches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchRole {
+    /// Other nodes watch the store for this one.
+    Follower,
+    /// It watches the store for its data centre. Its calls are long, as each one is paid for.
+    Reader,
+    /// It is the one node that tells the fleet at short intervals that the store responds.
+    Writer,
+    /// No node is known to have heard from the store lately, so it asks what there is, without waiting for records.
+    Asking,
 }
 
 impl StreamWatch {
@@ -40,6 +57,27 @@
         self.failures > 0
     }
 
+    /// Records that the store responded to a call.
+    pub fn record_response(&mut self, now: Timestamp) {
+        self.last_response = Some(now);
+    }
+
+    /// Returns when the store last responded to a call.
+    pub fn last_response(&self) -> Option<Timestamp> {
+        self.last_response
+    }
+
+    /// Returns the role of the node, which is `usual` unless the contacts of the fleet with the store are overdue. A node that
+    /// has heard from this stream lately need not ask about it again.
+    pub fn role(&self, now: Timestamp, is_overdue: bool, usual: WatchRole) -> WatchRole {
+        let is_recent = self.last_response.is_some_and(|at| now.since(at) <= MAX_CONTACT_AGE);
+        if is_overdue && !is_recent {
+            WatchRole::Asking
+        } else {
+            usual
+        }
+    }
+
     /// Returns the call to make next.
     pub fn next_call(&self) -> StoreCall {
         match self.position {
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -7,6 +7,7 @@
         peer_table::NodeState,
         server_limit::LimitReport,
         service_outcomes::OutcomeCounts,
+        store_contact::ContactReport,
         tracked_server::{Counts, ServerReport},
     },
     time::Span,
@@ -66,11 +67,14 @@
     Crashes { relay: bool, rows: Vec<CrashDoc> },
 }
 
-/// What follows a status in its datagram. Nodes of version 0.1 ignore it, and do not send it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// What follows a status in its datagram. Nodes of version 0.1 ignore it, and do not send it. Each part may end the
+/// datagram, as earlier versions sent fewer of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct StatusTail {
     /// The era of the registry's position.
     pub(crate) era: u64,
+    /// The newest contact with the store that the sender knows of.
+    pub(crate) contact: Option<ContactReport>,
 }
 
 /// Encodes a datagram. `tail` follows it instead of being a field, because a node of the version before would drop a
@@ -80,16 +84,45 @@
     if tail == StatusTail::default() {
         return Ok(bytes);
     }
-    postcard::to_extend(&tail, bytes)
+    let bytes = postcard::to_extend(&tail.era, bytes)?;
+    match tail.contact {
+        Some(contact) => postcard::to_extend(&ContactDoc::from(contact), bytes),
+        None => Ok(bytes),
+    }
 }
 
-/// Decodes a datagram with its tail. Without a tail, the era is 0.
+/// Decodes a datagram with its tail. Without a tail, the era is 0 and no contact is known.
 pub(crate) fn decode(bytes: &[u8]) -> postcard::Result<(Datagram, StatusTail)> {
     let (datagram, rest) = postcard::take_from_bytes(bytes)?;
     if rest.is_empty() {
         return Ok((datagram, StatusTail::default()));
     }
-    Ok((datagram, postcard::from_bytes(rest)?))
+    let (era, rest) = postcard::take_from_bytes(rest)?;
+    let contact = match rest {
+        [] => None,
+        _ => Some(ContactReport::from(postcard::from_bytes::<ContactDoc>(rest)?)),
+    };
+    Ok((datagram, StatusTail { era, contact }))
+}
+
+/// The encoding of a [`ContactReport`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct ContactDoc {
+    node: u32,
+    number: u32,
+    age_ms: u32,
+}
+
+impl From<ContactReport> for ContactDoc {
+    fn from(ContactReport { node, number, age }: ContactReport) -> Self {
+        ContactDoc { node, number, age_ms: age_ms(age) }
+    }
+}
+
+impl From<ContactDoc> for ContactReport {
+    fn from(ContactDoc { node, number, age_ms }: ContactDoc) -> Self {
+        ContactReport { node, number, age: Span::from_millis(age_ms.into()) }
+    }
 }
 
 /// The observations of one node.
--- a/crates/gateway/src/gossip/mod.rs
+++ b/crates/gateway/src/gossip/mod.rs
@@ -17,8 +17,8 @@
     ids::DataCentre,
     process::{
         crash_records::CrashReport, peer_table::NodeStatus, server_limit::LimitReport,
-        service_outcomes::OutcomeCounts, stream_position::StreamPosition,
-        tracked_server::ServerReport,
+        service_outcomes::OutcomeCounts, store_contact::ContactReport,
+        stream_position::StreamPosition, tracked_server::ServerReport,
     },
     time::{Span, Timestamp},
 };
@@ -131,7 +131,7 @@
                     registry_position: StreamPosition::new(tail.era, registry_position),
                     store_reachable,
                 };
-                self.record_status(now, from, status).await;
+                self.record_status(now, from, status, tail.contact).await;
             }
             Datagram::Nodes(addrs) => {
                 let mut fleet = self.shared.fleet();
@@ -168,9 +168,21 @@
         }
     }
 
-    async fn record_status(&mut self, now: Timestamp, from: SocketAddr, status: NodeStatus) {
+    async fn record_status(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddr,
+        status: NodeStatus,
+        contact: Option<ContactReport>,
+    ) {
         let (start, version) = (status.start, status.config_version);
-        let is_new = self.shared.fleet().peers.record_status(now, from, status);
+        let is_new = {
+            let mut fleet = self.shared.fleet();
+            if let Some(contact) = contact {
+                fleet.store_contacts.record_peer(now, &contact);
+            }
+            fleet.peers.record_status(now, from, status)
+        };
         if is_new {
             log::info!(target: "peers", peer:% = from, start, version;
                 "received the first datagram of a node that was unknown, silent or restarted");
@@ -260,14 +272,15 @@
         self.send_rows(&rows, &[to], |rows| Datagram::Crashes { relay: false, rows }).await;
     }
 
-    /// Returns this node's status, and the era of its position.
+    /// Returns this node's status, with what follows it in its datagram.
     fn status(&self) -> (Datagram, StatusTail) {
         let state = self.shared.node_state().into();
         let config_version = self.shared.routing_config.load().as_ref().map_or(0, |c| c.version());
-        let (position, store_reachable) = {
+        let (position, store_reachable, contact) = {
             let fleet = self.shared.fleet();
             let is_failing = fleet.server_watch.is_failing() || fleet.config_watch.is_failing();
-            (fleet.server_watch.position().unwrap_or_default(), !is_failing)
+            let contact = fleet.store_contacts.newest(self.shared.now());
+            (fleet.server_watch.position().unwrap_or_default(), !is_failing, contact)
         };
         let data_centre = self.shared.data_centre.as_str().to_string();
         let entry = self.shared.settings.entry;
@@ -280,7 +293,7 @@
             registry_position: position.offset,
             store_reachable,
         };
-        (status, StatusTail { era: position.era })
+        (status, StatusTail { era: position.era, contact })
     }
 
     /// Tells other nodes the limits that this node's responses have named since the last call.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::Clock, header_names::HeaderNames, pool::ConnectionPool, response_memory::ResponseMemory,
-    settings::Settings,
+    settings::Settings, store::Stream,
 };
 use arc_swap::ArcSwapOption;
 use rand::{rngs::StdRng, SeedableRng};
@@ -18,8 +18,9 @@
         server_limit::NodeCounts,
         server_registry::{Change, RegistryOptions, ServerRegistry},
         stop_plan::PlannedStop,
+        store_contact::StoreContacts,
         stream_position::{EraChange, StoreEra, StreamPosition},
-        stream_watch::StreamWatch,
+        stream_watch::{StreamWatch, WatchRole},
     },
     time::{Span, Timestamp},
     version::routing_config::{RoutingConfig, RoutingConfigDoc},
@@ -68,6 +69,8 @@
     pub config_watch: StreamWatch,
     /// The newest known era of the store.
     pub store_era: StoreEra,
+    /// The newest contacts of the fleet with the store.
+    pub store_contacts: StoreContacts,
     /// The moving average of the response size by route, in bytes.
     pub response_sizes: HashMap<Arc<str>, f64>,
     /// The random numbers for choosing servers and peers.
@@ -85,6 +88,24 @@
         self.peers.is_reader(now, self.era())
     }
 
+    /// Returns the watch of a stream.
+    pub fn watch(&mut self, stream: Stream) -> &mut StreamWatch {
+        match stream {
+            Stream::Configuration => &mut self.config_watch,
+            Stream::Servers => &mut self.server_watch,
+        }
+    }
+
+    /// Records that the store responded to a call for records of a stream. It counts as a contact of this node once both
+    /// streams have responded.
+    pub fn record_response(&mut self, now: Timestamp, stream: Stream) {
+        self.watch(stream).record_response(now);
+        let responses = (self.config_watch.last_response(), self.server_watch.last_response());
+        if let (Some(config), Some(servers)) = responses {
+            self.store_contacts.record_own(config.min(servers), &mut self.rng);
+        }
+    }
+
     /// Returns a random selection of the live nodes of this data centre, see [`PeerTable::nearby_peers`].
     pub fn nearby_peers(&mut self, now: Timestamp) -> Vec<SocketAddr> {
         self.peers.nearby_peers(now, &mut self.rng)
@@ -153,6 +174,7 @@
             recovery_per_s: settings.recovery_per_s,
             ..HealthOptions::default()
         };
+        let (clock, start_id) = (Clock::start(), rand::random::<u64>());
         let fleet = Fleet {
             registry: ServerRegistry::new(RegistryOptions { health, ..RegistryOptions::default() }),
             peers: PeerTable::new(PeerTableOptions::default(), settings.peer, data_centre.clone()),
@@ -161,15 +183,15 @@
             server_watch: StreamWatch::default(),
             config_watch: StreamWatch::default(),
             store_era: StoreEra::default(),
+            store_contacts: StoreContacts::new(clock.now(), start_id as u32),
             response_sizes: HashMap::new(),
             rng: StdRng::from_os_rng(),
         };
-        let clock = Clock::start();
         Shared {
             header_names,
             clock,
             started: clock.now(),
-            start_id: rand::random(),
+            start_id,
             data_centre,
             picker_options,
             routing_config: ArcSwapOption::empty(),
@@ -224,6 +246,19 @@
         self.fleet().peers.is_writer(self.now())
     }
 
+    /// Returns how this node watches a stream.
+    pub fn watch_role(&self, stream: Stream) -> WatchRole {
+        let usual = match (self.is_writer(), self.is_reader()) {
+            (true, _) => WatchRole::Writer,
+            (false, true) => WatchRole::Reader,
+            (false, false) => WatchRole::Follower,
+        };
+        let now = self.now();
+        let mut fleet = self.fleet();
+        let is_overdue = fleet.store_contacts.is_overdue(now);
+        fleet.watch(stream).role(now, is_overdue, usual)
+    }
+
     /// Makes this node watch the store itself for `time`.
     pub fn watch_directly(&self, time: Span) {
         *self.watch_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(self.now() + time);
--- a/crates/gateway/tests/common/store.rs
+++ b/crates/gateway/tests/common/store.rs
@@ -22,6 +22,8 @@
     watches: Arc<AtomicU32>,
     saved: Arc<Mutex<HashMap<String, Vec<u8>>>>,
     era: Arc<AtomicU64>,
+    /// Whether the link of this client carries nothing.
+    is_cut: Arc<AtomicBool>,
 }
 
 impl MemoryStore {
@@ -50,6 +52,25 @@
         self.saved.lock().unwrap().insert(key.into(), value.into());
     }
 
+    /// Returns a client of the same store with a link of its own.
+    pub(crate) fn with_own_link(&self) -> MemoryStore {
+        MemoryStore { is_cut: Arc::default(), ..self.clone() }
+    }
+
+    /// Cuts this client's link without a sign, or lets it carry later calls again. A call that was open while the link was
+    /// cut never ends.
+    pub(crate) fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::SeqCst);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits forever if the link is cut.
+    async fn pass_link(&self) {
+        if self.is_cut.load(Ordering::SeqCst) {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Makes the store lose the responses to the next `watches` watches.
     pub(crate) fn lose_responses(&self, watches: u32) {
         self.lost.store(watches, Ordering::SeqCst);
@@ -105,6 +126,7 @@
 
 impl Store for MemoryStore {
     async fn read_newest(&self, stream: Stream) -> Result<Batch, StoreError> {
+        self.pass_link().await;
         let Batch { records, end } = self.read(stream, 0)?;
         let mut newest = HashMap::new();
         for (position, record) in records {
@@ -126,6 +148,7 @@
             std::future::pending::<()>().await;
         }
         loop {
+            self.pass_link().await;
             let changed = self.changed.notified();
             if self.always_gone.load(Ordering::SeqCst) {
                 return Err(StoreError::Expired { first: 0, era: self.era.load(Ordering::SeqCst) });
@@ -139,11 +162,13 @@
     }
 
     async fn read_saved(&self) -> Result<Saved, StoreError> {
+        self.pass_link().await;
         let values = self.saved.lock().unwrap().clone().into_iter().collect();
         Ok(Saved { values, era: self.era.load(Ordering::SeqCst) })
     }
 
     async fn save(&self, key: &str, value: &[u8]) -> Result<u64, StoreError> {
+        self.pass_link().await;
         self.saved.lock().unwrap().insert(key.into(), value.into());
         Ok(self.era.load(Ordering::SeqCst))
     }
--- a/crates/gateway/tests/restored_store.rs
+++ b/crates/gateway/tests/restored_store.rs
@@ -187,6 +187,19 @@
     gateway.wait_until("the old node is live", is_live).await;
 }
 
+/// Guards against nodes that drop the status of an earlier version, which ends after the era.
+#[tokio::test]
+async fn status_without_a_contact_is_understood() {
+    let gateway = TestGateway::with_empty_store().await;
+    start_gossip(&gateway).await;
+    let earlier = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let bytes = postcard::to_extend(&3u64, old_status(gateway.entry, 0)).expect("encoded");
+    earlier.send_to(&bytes, gateway.shared.settings.peer).await.expect("sent");
+    let addr = earlier.local_addr().expect("bound");
+    let has_era = || gateway.shared.fleet().peers.era_of(addr) == 3;
+    gateway.wait_until("the status is known", has_era).await;
+}
+
 /// Starts two nodes of version 0.1 with lower addresses than the gateway, which send their status every 50 ms.
 async fn start_old_nodes(gateway: &TestGateway) {
     for _ in 0..2 {
