Count each server that a request ends after the one before

Cause: ends within 40 ms of each other counted as one fault. But a request is sent to the next server in the millisecond in which it was lost at the one before, so all ends of a visit counted once.

Change: the record of an end says how long the request had run there. An end shares a fault with an earlier one only if its run began before that, and both lie within 40 ms as before. The time of an end is that of the broken connection. The length follows the datagram, so nodes of earlier versions understand it.

Ruled out: that the nodes do not hear of each other's ends; they had a second for that in the test.

The new test of crashing_request.rs failed before; on virtual time three ends 1 to 40 ms apart did not block the request (trial).

--- a/crates/core/src/process/crash_records.rs
+++ b/crates/core/src/process/crash_records.rs
@@ -22,10 +22,14 @@
 /// The most crashes of a request that are kept, to count each once and to tell other nodes.
 const MAX_CRASHES: usize = 32;
 
-/// Servers that end within this time of each other count once. A fault of their common machine or link ends them together,
-/// while a request is sent to the next server only after it was lost at the one before.
+/// Servers that end within this time of the first one may have had one fault in common, of their machine or link. It takes
+/// along the requests that ran there before. A request that is sent to the next server after it was lost at the one before
+/// meets a fault of its own there, however soon.
 const COMMON_FAULT: Span = Span::from_millis(40);
 
+/// By this much an end that another node reports may seem later than it was, as its message takes some time.
+const REPORT_DELAY: Span = Span::from_millis(4);
+
 /// A request that may be innocent is forgotten this long after the newest end of a server under it.
 const SUSPECT_RETENTION: Span = Span::from_secs(120);
 
@@ -50,6 +54,8 @@
     pub started: u64,
     /// How long ago the server ended.
     pub age: Span,
+    /// How long before its end the server had got the request.
+    pub run: Span,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -57,14 +63,23 @@
     tag: u32,
     started: u64,
     at: Timestamp,
+    run: Span,
+}
+
+impl Crash {
+    /// Returns whether the server may have ended by the fault that began at `fault`, and not by the request.
+    fn shares_fault(&self, fault: Timestamp) -> bool {
+        let was_running = self.at - self.run + REPORT_DELAY < fault;
+        was_running && self.at.since(fault) <= COMMON_FAULT
+    }
 }
 
 #[derive(Clone, Debug, Default)]
 struct SuspectRequest {
     /// The newest ends of servers, by time.
     crashes: Vec<Crash>,
-    /// The beginnings of the newest faults, by time. All ends within [`COMMON_FAULT`] of one belong to it.
-    faults: Vec<Timestamp>,
+    /// The faults under which servers ended, see [`Crash::shares_fault`].
+    faults: usize,
     last_shared: Option<Timestamp>,
 }
 
@@ -82,12 +97,12 @@
     }
 
     fn was_blocked(&self) -> bool {
-        self.faults.len() >= CRASHES_TO_BLOCK
+        self.faults >= CRASHES_TO_BLOCK
     }
 
     /// Returns the end of the block, if the request was ever blocked.
     fn blocked_until(&self) -> Option<Timestamp> {
-        let beyond = self.faults.len().checked_sub(CRASHES_TO_BLOCK)?;
+        let beyond = self.faults.checked_sub(CRASHES_TO_BLOCK)?;
         Some(self.newest() + FIRST_BLOCK.times(1 << beyond))
     }
 
@@ -108,30 +123,35 @@
         if self.crashes.iter().any(is_same) {
             return false;
         }
-        insert_by_time(&mut self.crashes, crash, |c| c.at, MAX_CRASHES);
-        let belongs =
-            |fault: &Timestamp| *fault <= crash.at && crash.at.since(*fault) <= COMMON_FAULT;
-        if !self.faults.iter().any(belongs) {
-            insert_by_time(&mut self.faults, crash.at, |at| *at, MAX_FAULTS);
+        self.crashes.push(crash);
+        self.crashes.sort_by_key(|c| c.at);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.remove(0);
         }
+        // Faults of crashes that are no longer kept still count.
+        self.faults = count_faults(&self.crashes).clamp(self.faults, MAX_FAULTS);
         true
     }
 }
 
-/// Adds an entry to a list that is sorted by time, and drops the oldest if there are more than `most`.
-fn insert_by_time<T>(list: &mut Vec<T>, entry: T, time: impl Fn(&T) -> Timestamp, most: usize) {
-    list.push(entry);
-    list.sort_by_key(&time);
-    if list.len() > most {
-        list.remove(0);
+/// Returns the number of faults under which servers ended, from their ends by time.
+fn count_faults(crashes: &[Crash]) -> usize {
+    let mut count = 0;
+    let mut newest: Option<Timestamp> = None;
+    for crash in crashes {
+        if newest.is_none_or(|fault| !crash.shares_fault(fault)) {
+            newest = Some(crash.at);
+            count += 1;
+        }
     }
+    count
 }
 
 impl CrashRecords {
     /// Records that a server ended under a request of this node or, by its report, of another one. Returns the time for
     /// which the request is blocked, if this extends it.
     pub fn record(&mut self, now: Timestamp, report: &CrashReport, is_own: bool) -> Option<Span> {
-        let CrashReport { fingerprint, tag, started, age } = *report;
+        let CrashReport { fingerprint, tag, started, age, run } = *report;
         // A request that was served since the last end of a server under it is not suspected for this one.
         if self.served.remove(fingerprint) {
             return None;
@@ -141,7 +161,7 @@
             self.make_room();
         }
         let suspect = self.suspects.entry(fingerprint).or_default();
-        if !suspect.add(Crash { tag, started, at }) {
+        if !suspect.add(Crash { tag, started, at, run }) {
             return None;
         }
         if is_own {
@@ -209,7 +229,7 @@
     suspect: &SuspectRequest,
 ) -> impl Iterator<Item = CrashReport> + '_ {
     suspect.crashes.iter().map(move |crash| {
-        let Crash { tag, started, at } = *crash;
-        CrashReport { fingerprint, tag, started, age: now.since(at) }
+        let Crash { tag, started, at, run } = *crash;
+        CrashReport { fingerprint, tag, started, age: now.since(at), run }
     })
 }
--- a/crates/core/tests/crash_records.rs
+++ b/crates/core/tests/crash_records.rs
@@ -15,9 +15,9 @@
     Timestamp::ZERO + Span::from_secs(3_600) + Span::from_millis(millis)
 }
 
-/// Returns the end of a start of a server under a request.
+/// Returns the end of a start of a server under a request that it had run for a second.
 fn crash(fingerprint: Fingerprint, tag: u32, started: u64) -> CrashReport {
-    CrashReport { fingerprint, tag, started, age: Span::ZERO }
+    CrashReport { fingerprint, tag, started, age: Span::ZERO, run: Span::from_secs(1) }
 }
 
 /// Returns records of the ends of servers 1, 2 and so on under [`REQUEST`] at these times in ms.
@@ -46,6 +46,52 @@
     assert!(!is_blocked(&records(&[0, 10, 20, 30]), 100));
 }
 
+/// Guards against a request that ends server after server within milliseconds, as it is sent on as soon as it is lost, and
+/// goes on to end as many at each of its next visits.
+#[test]
+fn request_that_is_sent_on_at_once_is_blocked_after_three_servers() {
+    for gap in [1, 4, 10, 39] {
+        let mut records = CrashRecords::default();
+        for number in 0..3 {
+            let run = Span::from_millis(gap);
+            let report = CrashReport { run, ..crash(REQUEST, number, 1) };
+            records.record(at(u64::from(number) * gap), &report, true);
+        }
+        assert!(is_blocked(&records, 100), "one end each {gap} ms");
+    }
+}
+
+/// Guards against an end that another node reports a little late and that therefore seems to be shared.
+#[test]
+fn delay_of_a_report_does_not_join_two_ends() {
+    let mut records = CrashRecords::default();
+    for (number, heard) in [(1, 3), (2, 13), (3, 23)] {
+        // Each run begins when the one before has ended, and each end seems to be 3 ms later than it was.
+        let report = CrashReport { run: Span::from_millis(10), ..crash(REQUEST, number, 1) };
+        records.record(at(heard), &report, false);
+    }
+    let own = CrashReport { run: Span::from_millis(10), ..crash(REQUEST, 4, 1) };
+    records.record(at(30), &own, true);
+    assert_eq!(records.block_left(at(30), REQUEST), Some(Span::from_secs(120)));
+}
+
+/// Guards against an innocent request that is blocked because a fault of a rack ended the servers that ran its copies, in
+/// whatever order the nodes report them.
+#[test]
+fn copies_that_a_common_fault_ends_count_once() {
+    let ends = [(1, 0, 300), (2, 12, 40), (3, 25, 500), (4, 38, 80)];
+    for rotation in 0..4 {
+        let mut records = CrashRecords::default();
+        let mut ordered = ends;
+        ordered.rotate_left(rotation);
+        for (number, end, run) in ordered {
+            let (age, run) = (Span::from_millis(100 - end), Span::from_millis(run));
+            records.record(at(100), &CrashReport { age, run, ..crash(REQUEST, number, 1) }, false);
+        }
+        assert!(!is_blocked(&records, 100), "rotated by {rotation}");
+    }
+}
+
 /// Guards against a request that is not blocked because it comes so often that servers end all the time.
 #[test]
 fn request_that_ends_servers_in_quick_succession_is_blocked() {
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -81,6 +81,10 @@
 /// status without the field, and be dropped by nodes that require it.
 pub(crate) fn encode(datagram: &Datagram, tail: StatusTail) -> postcard::Result<Vec<u8>> {
     let bytes = postcard::to_allocvec(datagram)?;
+    if let Datagram::Crashes { rows, .. } = datagram {
+        let runs: Vec<u16> = rows.iter().map(|row| row.run_ms).collect();
+        return postcard::to_extend(&runs, bytes);
+    }
     if tail == StatusTail::default() {
         return Ok(bytes);
     }
@@ -93,7 +97,14 @@
 
 /// Decodes a datagram with its tail. Without a tail, the era is 0 and no contact is known.
 pub(crate) fn decode(bytes: &[u8]) -> postcard::Result<(Datagram, StatusTail)> {
-    let (datagram, rest) = postcard::take_from_bytes(bytes)?;
+    let (mut datagram, rest) = postcard::take_from_bytes(bytes)?;
+    if let Datagram::Crashes { rows, .. } = &mut datagram {
+        let runs: Vec<u16> = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+        for (row, run_ms) in rows.iter_mut().zip(runs) {
+            row.run_ms = run_ms;
+        }
+        return Ok((datagram, StatusTail::default()));
+    }
     if rest.is_empty() {
         return Ok((datagram, StatusTail::default()));
     }
@@ -196,18 +207,27 @@
     tag: u32,
     started: u64,
     age_ms: u32,
+    /// How long the request had run. It follows the datagram, as rows of earlier versions lack it.
+    #[serde(skip, default = "unknown_run")]
+    run_ms: u16,
+}
+
+/// A run of unknown length counts as one that began long before the end of the server.
+fn unknown_run() -> u16 {
+    u16::MAX
 }
 
 impl From<CrashReport> for CrashDoc {
-    fn from(CrashReport { fingerprint, tag, started, age }: CrashReport) -> Self {
-        CrashDoc { fingerprint: fingerprint.0, tag, started, age_ms: age_ms(age) }
+    fn from(CrashReport { fingerprint, tag, started, age, run }: CrashReport) -> Self {
+        let run_ms = run.as_millis().min(u64::from(u16::MAX)) as u16;
+        CrashDoc { fingerprint: fingerprint.0, tag, started, age_ms: age_ms(age), run_ms }
     }
 }
 
 impl From<CrashDoc> for CrashReport {
-    fn from(CrashDoc { fingerprint, tag, started, age_ms }: CrashDoc) -> Self {
+    fn from(CrashDoc { fingerprint, tag, started, age_ms, run_ms }: CrashDoc) -> Self {
         let (fingerprint, age) = (Fingerprint(fingerprint), Span::from_millis(age_ms.into()));
-        CrashReport { fingerprint, tag, started, age }
+        CrashReport { fingerprint, tag, started, age, run: Span::from_millis(run_ms.into()) }
     }
 }
 
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -131,15 +131,16 @@
     /// this response. Then its port refuses connections.
     pub fn check_for_crash(&self) {
         let Some(start) = self.start.clone() else { return };
-        let (attempt, fingerprint) = (self.attempt.clone(), self.fingerprint);
+        let attempt = self.attempt.clone();
         let shared = self.shared.clone();
+        let lost = LostRun { fingerprint: self.fingerprint, sent: self.sent_at, at: shared.now() };
         tokio::spawn(async move {
             tokio::time::sleep(CRASH_CHECK_DELAY).await;
             let has_ended = ServerConnection::connect(start.addr())
                 .await
                 .is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused);
             if has_ended {
-                record_crash(&shared, &start, &attempt, fingerprint);
+                record_crash(&shared, &start, &attempt, &lost);
             }
         });
     }
@@ -184,19 +185,31 @@
     }
 }
 
+/// A run of a request that broke off.
+#[derive(Clone, Copy, Debug)]
+struct LostRun {
+    fingerprint: Fingerprint,
+    sent: Timestamp,
+    at: Timestamp,
+}
+
 /// Records that a server in service ended while it ran a request, and tells the other nodes at once.
-fn record_crash(shared: &Shared, start: &ServerStart, attempt: &str, fingerprint: Fingerprint) {
+fn record_crash(shared: &Shared, start: &ServerStart, attempt: &str, lost: &LostRun) {
+    let LostRun { fingerprint, sent, at } = *lost;
+    let run = at.since(sent);
     let blocked = {
         let mut fleet = shared.fleet();
         if !fleet.registry.is_in_service(start) {
             return;
         }
         let (tag, started) = (start.id.tag(), start.started());
-        let report = CrashReport { fingerprint, tag, started, age: Span::ZERO };
-        fleet.crash_records.record(shared.now(), &report, true)
+        let now = shared.now();
+        let report = CrashReport { fingerprint, tag, started, age: now.since(at), run };
+        fleet.crash_records.record(now, &report, true)
     };
     log::info!(target: "servers", server = start.id.as_str(), attempt, fingerprint:% = fingerprint,
-        blocked_ms = blocked.map(Span::as_millis); "a server ended while it ran a request");
+        run_ms = run.as_millis(), blocked_ms = blocked.map(Span::as_millis);
+        "a server ended while it ran a request");
     shared.report_now.notify_one();
 }
 
--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -16,6 +16,9 @@
 /// The path of the request that ends a server.
 pub(crate) const DEADLY_PATH: &str = "/free/deadly";
 
+/// A path of the request that ends a server as soon as it has it.
+pub(crate) const DEADLY_AT_ONCE_PATH: &str = "/free/deadly/at-once";
+
 /// How long a server runs the request before it ends.
 const RUN_TIME: Duration = Duration::from_millis(30);
 
@@ -92,7 +95,9 @@
         while let Some(request) = read_request(&mut socket).await {
             if is_deadly(&request.head) {
                 *self.runs.lock().unwrap() += 1;
-                tokio::time::sleep(RUN_TIME).await;
+                if !request.head.contains(DEADLY_AT_ONCE_PATH) {
+                    tokio::time::sleep(RUN_TIME).await;
+                }
                 ended.send_replace(true);
                 return;
             }
--- a/crates/gateway/tests/crashing_request.rs
+++ b/crates/gateway/tests/crashing_request.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{
-    crashing::{CrashingServer, DEADLY_PATH, SAFE_AGENT},
+    crashing::{CrashingServer, DEADLY_AT_ONCE_PATH, DEADLY_PATH, SAFE_AGENT},
     get, header, routing_config, MemoryStore, TestGateway,
 };
 use redwingtrestle_gateway::store::{Record, Stream};
@@ -66,6 +66,29 @@
     assert_eq!((last.status, wait > 10.0), (503, true), "{last:?}");
 }
 
+/// Guards against a request that ends several servers within milliseconds, whose next visits end as many again because the
+/// ends count as one fault.
+#[tokio::test]
+async fn request_that_ends_servers_at_once_is_refused_at_its_next_visit() {
+    let (gateways, servers) = fleet().await;
+    let visit = |number: usize| {
+        let gateway = &gateways[number % gateways.len()];
+        async move { gateway.call(&get(DEADLY_AT_ONCE_PATH, &format!("deadly-{number}"))).await }
+    };
+    let runs = || servers.iter().map(CrashingServer::runs).sum::<u32>();
+    // The caller repeats the request at once at another node.
+    for number in 0..2 {
+        visit(number).await;
+    }
+    assert!(runs() >= 3, "{} runs end no three servers", runs());
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = runs();
+    for number in 2..5 {
+        assert_eq!(visit(number).await.status, 503);
+    }
+    assert_eq!(runs(), before, "it ran again");
+}
+
 /// Guards against blocking another caller's request of the same path.
 #[tokio::test]
 async fn same_path_of_another_caller_is_served() {
