Follow a changed limit on heads on open connections

Cause: the HTTP library takes the limit for a whole connection, and got it when the connection was accepted. A lowered limit was ignored likewise.

Change: a connection that waits for a request when the limit changes, or has a part of a head, is taken back from the library with the bytes that it has read, and given to it anew with the limit in force. One that serves a request follows when the reply is written. No connection is closed. The caller's socket moved to a module of its own.

Ruled out: that the change was not in force; new connections took the heads. A high limit at the library with an own check would have let its buffers grow on every connection.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -2,11 +2,9 @@
 
 use crate::{
     clock::duration,
-    connection_state::{
-        BusyGuard, ConnectionState, LimitCheck, FRAMING_AMBIGUOUS, FRAMING_CLEAR, FRAMING_UNSEEN,
-        IDLE, READING_HEAD,
-    },
+    connection_state::{BusyGuard, ConnectionState, LimitCheck, FRAMING_AMBIGUOUS, FRAMING_UNSEEN},
     error::{Error, Result},
+    inspected_socket::InspectedSocket,
     linger::linger,
     reply::{self, ReplyBody},
     request,
@@ -24,14 +22,11 @@
 use redwingtrestle_core::{codes::ResultCode, time::Span};
 use std::{
     convert::Infallible,
-    io,
-    pin::Pin,
     sync::{atomic::Ordering, Arc},
-    task::{Context, Poll},
 };
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpSocket, TcpStream},
+    sync::watch,
 };
 
 /// The length of the queue of connections that wait to be accepted. A full queue delays a caller by seconds.
@@ -47,94 +42,6 @@
 /// The pause after a failed accept, which usually means that file descriptors have run out.
 const ACCEPT_PAUSE: Span = Span::from_millis(50);
 
-const HEAD_END: &[u8] = b"\r\n\r\n";
-
-/// A caller's socket that records when a request head begins to arrive, and inspects its framing.
-#[derive(Debug)]
-struct InspectedSocket {
-    socket: TcpStream,
-    connection_state: Arc<ConnectionState>,
-    head: Vec<u8>,
-}
-
-impl InspectedSocket {
-    /// Inspects the raw head, because the HTTP library hides a `Content-Length` beside a chunked body. Two parsers can
-    /// see different ends of such a request, and the bytes between would run as a request of their own (request
-    /// smuggling).
-    fn inspect_head(&mut self, bytes: &[u8]) {
-        self.head.extend_from_slice(bytes);
-        let Some(end) = self.head.windows(HEAD_END.len()).position(|w| w == HEAD_END) else {
-            return;
-        };
-        let head = self.head[..end].to_ascii_lowercase();
-        let has_header =
-            |name: &[u8]| head.split(|b| *b == b'\n').any(|line| line.starts_with(name));
-        let is_ambiguous = has_header(b"content-length") && has_header(b"transfer-encoding");
-        let framing = if is_ambiguous { FRAMING_AMBIGUOUS } else { FRAMING_CLEAR };
-        self.connection_state.framing.store(framing, Ordering::SeqCst);
-        self.head = Vec::new();
-    }
-}
-
-impl AsyncRead for InspectedSocket {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut self.socket).poll_read(context, buffer);
-        if buffer.filled().len() == before {
-            return result;
-        }
-        if self.connection_state.activity.load(Ordering::SeqCst) == IDLE {
-            self.connection_state.set_activity(READING_HEAD);
-            self.connection_state.framing.store(FRAMING_UNSEEN, Ordering::SeqCst);
-            self.head.clear();
-        }
-        let is_head = self.connection_state.activity.load(Ordering::SeqCst) == READING_HEAD;
-        if is_head && self.connection_state.framing.load(Ordering::SeqCst) == FRAMING_UNSEEN {
-            self.inspect_head(&buffer.filled()[before..]);
-        }
-        result
-    }
-}
-
-impl AsyncWrite for InspectedSocket {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        // The HTTP library flushes the socket only after it has written all that it had.
-        let result = Pin::new(&mut self.socket).poll_flush(context);
-        if matches!(result, Poll::Ready(Ok(()))) {
-            self.connection_state.record_flush();
-        }
-        result
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(context)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(context, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
-    }
-}
-
 /// Binds the address that callers connect to.
 pub fn bind(shared: &Shared) -> Result<TcpListener> {
     let addr = shared.settings.entry;
@@ -200,6 +107,38 @@
         return;
     }
     let connection_state = Arc::new(ConnectionState::new(shared.clone()));
+    let mut socket = InspectedSocket::new(socket, connection_state.clone());
+    let mut head_limit = shared.head_limit.subscribe();
+    loop {
+        match serve_connection(&shared, socket, &connection_state, &mut head_limit).await {
+            ConnectionEnd::HeadLimitChanged(kept) => socket = kept,
+            ConnectionEnd::Closed(socket) => {
+                linger(socket.into_socket(), connection_state.unchanged_for()).await;
+                return;
+            }
+            ConnectionEnd::SlowHead => return,
+        }
+    }
+}
+
+/// Why the HTTP library no longer serves a connection.
+enum ConnectionEnd {
+    /// The connection is to be closed.
+    Closed(InspectedSocket),
+    /// A request head did not arrive within its time limit.
+    SlowHead,
+    /// The limit on heads is another one now. The caller keeps its connection.
+    HeadLimitChanged(InspectedSocket),
+}
+
+/// Serves requests until the connection ends, or until it waits for a request and the limit on heads has changed. The HTTP
+/// library takes that limit for a whole connection.
+async fn serve_connection(
+    shared: &Arc<Shared>,
+    socket: InspectedSocket,
+    connection_state: &Arc<ConnectionState>,
+    head_limit: &mut watch::Receiver<usize>,
+) -> ConnectionEnd {
     let limits = || shared.routing_config.load().as_ref().map(|c| c.limits()).unwrap_or_default();
     let (service_state, service_shared) = (connection_state.clone(), shared.clone());
     let service = service_fn(move |incoming| {
@@ -208,24 +147,19 @@
         let serving = serve_request(shared, incoming, busy, framing);
         serving.map(Ok::<_, Infallible>).boxed()
     });
-    let io = TokioIo::new(InspectedSocket {
-        socket,
-        connection_state: connection_state.clone(),
-        head: Vec::new(),
-    });
-    let head = limits().head;
+    let head = *head_limit.borrow_and_update();
     let mut connection = http1::Builder::new()
         .max_buf_size(head.max(MIN_HEAD_BUFFER))
         .max_header_size(head)
-        .serve_connection(io, service);
+        .serve_connection(TokioIo::new(socket), service);
     let mut phase = shared.phase.subscribe();
     let mut wait = limits().head_time;
-    let mut is_closing = false;
+    let (mut is_closing, mut is_outdated) = (false, false);
     loop {
         tokio::select! {
             result = &mut connection => {
                 connection_state.log_end(result.err().as_ref());
-                break;
+                return ConnectionEnd::Closed(connection.into_parts().io.into_inner());
             }
             () = tokio::time::sleep(duration(wait)) => {
                 let limits = limits();
@@ -234,7 +168,7 @@
                     LimitCheck::SlowHead => {
                         log::info!(target: "entry",
                             "a request head did not arrive within its time limit, the connection is closed");
-                        return;
+                        return ConnectionEnd::SlowHead;
                     }
                     LimitCheck::Idle => {
                         is_closing = true;
@@ -247,8 +181,15 @@
                 is_closing = true;
                 Pin::new(&mut connection).graceful_shutdown();
             }
+            // The sender lives as long as the process, so the wait cannot fail.
+            _ = head_limit.changed(), if !is_outdated => is_outdated = true,
+            () = connection_state.wait_for_reply(), if is_outdated => {}
+        }
+        if is_outdated && !is_closing && connection_state.awaits_request() {
+            let parts = connection.into_parts();
+            let mut socket: InspectedSocket = parts.io.into_inner();
+            socket.unread(parts.read_buf);
+            return ConnectionEnd::HeadLimitChanged(socket);
         }
     }
-    let InspectedSocket { socket, .. } = connection.into_parts().io.into_inner();
-    linger(socket, connection_state.unchanged_for()).await;
 }
--- a/crates/gateway/src/connection_state.rs
+++ b/crates/gateway/src/connection_state.rs
@@ -6,6 +6,7 @@
     atomic::{AtomicU64, AtomicU8, Ordering},
     Arc, Mutex, PoisonError,
 };
+use tokio::sync::Notify;
 
 /// The values of [`ConnectionState::activity`]: between requests, reading a request head, serving a request, writing
 /// the rest of a reply whose body the HTTP library has taken.
@@ -26,6 +27,8 @@
     pub(crate) activity: AtomicU8,
     pub(crate) framing: AtomicU8,
     since: AtomicU64,
+    /// Notified when a reply was written.
+    replied: Notify,
     /// The id of the attempt that was served last.
     attempt: Mutex<Arc<str>>,
     shared: Arc<Shared>,
@@ -38,6 +41,7 @@
             activity: AtomicU8::new(IDLE),
             framing: AtomicU8::new(FRAMING_UNSEEN),
             since: AtomicU64::new(shared.now().as_micros()),
+            replied: Notify::new(),
             attempt: Mutex::new(Arc::from("")),
             shared,
         }
@@ -53,9 +57,20 @@
     pub(crate) fn record_flush(&self) {
         if self.activity.load(Ordering::SeqCst) == WRITING {
             self.set_activity(IDLE);
+            self.replied.notify_one();
         }
     }
 
+    /// Returns whether no reply is due or being written.
+    pub(crate) fn awaits_request(&self) -> bool {
+        matches!(self.activity.load(Ordering::SeqCst), IDLE | READING_HEAD)
+    }
+
+    /// Waits until a reply was written. One that was written before the call may end the wait at once.
+    pub(crate) async fn wait_for_reply(&self) {
+        self.replied.notified().await;
+    }
+
     /// Returns the time since the last change of the state, such as the end of a reply.
     pub(crate) fn unchanged_for(&self) -> Span {
         let since = Timestamp::from_micros(self.since.load(Ordering::SeqCst));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod header_names;
 pub mod http_api;
 pub mod in_flight;
+mod inspected_socket;
 mod linger;
 pub mod logs;
 pub mod outgoing;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -23,7 +23,7 @@
         stream_watch::{StreamWatch, WatchRole},
     },
     time::{Span, Timestamp},
-    version::routing_config::{RoutingConfig, RoutingConfigDoc},
+    version::routing_config::{CallerLimits, RoutingConfig, RoutingConfigDoc},
 };
 use std::{
     collections::HashMap,
@@ -136,6 +136,8 @@
     pub picker_options: PickerOptions,
     /// The configuration in force.
     pub routing_config: ArcSwapOption<RoutingConfig>,
+    /// The limit on the heads of requests in bytes, for connections that are open when it changes.
+    pub head_limit: watch::Sender<usize>,
     /// The pool of idle connections to backend servers.
     pub pool: ConnectionPool,
     /// The memory for collected responses.
@@ -195,6 +197,7 @@
             data_centre,
             picker_options,
             routing_config: ArcSwapOption::empty(),
+            head_limit: watch::Sender::new(CallerLimits::default().head),
             pool: ConnectionPool::default(),
             response_memory: Arc::default(),
             phase: watch::Sender::new(Phase::Running),
@@ -271,6 +274,8 @@
             return false;
         }
         self.routing_config.store(Some(Arc::new(RoutingConfig::new(doc.clone()))));
+        let head = doc.limits.head;
+        self.head_limit.send_if_modified(|limit| std::mem::replace(limit, head) != head);
         metrics::gauge!("redwing_gateway_config_version").set(doc.version as f64);
         log::info!(target: "configuration", version = doc.version, before = known,
             routes = doc.routes.len(), source; "a new configuration is in force");
