Count a streamed response as served when it is complete

Cause: a response above 640 KiB is streamed, and its request counted as served at the head, so the end that followed was not counted.

Change: a streamed response counts when its last byte has come.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -239,7 +239,10 @@
         match send_result {
             SendResult::Response(response) => {
                 self.update_response_size(&response);
-                self.shared.fleet().crash_records.record_served(self.outgoing.fingerprint);
+                // A streamed one may still break off, and counts when it is complete.
+                if matches!(response.body, ResponseBody::Whole(_)) {
+                    self.shared.fleet().crash_records.record_served(self.outgoing.fingerprint);
+                }
                 state.last_end = label.into();
                 return Some(RequestResult::Response(response));
             }
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -68,6 +68,7 @@
 impl StreamedResponse {
     fn complete(&mut self) {
         self.in_flight.record_success();
+        self.in_flight.record_served();
         if let Some(connection) = self.connection.take() {
             self.in_flight.return_connection(connection);
         }
--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -19,6 +19,12 @@
 /// A path of the request that ends a server as soon as it has it.
 pub(crate) const DEADLY_AT_ONCE_PATH: &str = "/free/deadly/at-once";
 
+/// A path of the request that ends a server in the middle of a response of [`DOWNLOAD_SIZE`] bytes.
+pub(crate) const DEADLY_DOWNLOAD_PATH: &str = "/free/deadly/download";
+
+/// The size of a response that is too long to be collected, in bytes.
+const DOWNLOAD_SIZE: usize = 2_000_000;
+
 /// How long a server runs the request before it ends.
 const RUN_TIME: Duration = Duration::from_millis(30);
 
@@ -95,6 +101,9 @@
         while let Some(request) = read_request(&mut socket).await {
             if is_deadly(&request.head) {
                 *self.runs.lock().unwrap() += 1;
+                if request.head.contains(DEADLY_DOWNLOAD_PATH) {
+                    send_half(&mut socket, &header(&request.head, "redwing-request-id")).await;
+                }
                 if !request.head.contains(DEADLY_AT_ONCE_PATH) {
                     tokio::time::sleep(RUN_TIME).await;
                 }
@@ -115,3 +124,10 @@
         Registration { started, ..first }
     }
 }
+
+/// Sends the first half of a long response.
+async fn send_half(socket: &mut TcpStream, id: &str) {
+    let response = super::scripted::success(id, &"x".repeat(DOWNLOAD_SIZE));
+    // The caller may have left, and the server ends in any case.
+    let _ = socket.write_all(&response.as_bytes()[..DOWNLOAD_SIZE / 2]).await;
+}
--- a/crates/gateway/tests/crashing_request.rs
+++ b/crates/gateway/tests/crashing_request.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::{
-    crashing::{CrashingServer, DEADLY_AT_ONCE_PATH, DEADLY_PATH, SAFE_AGENT},
+    crashing::{
+        CrashingServer, DEADLY_AT_ONCE_PATH, DEADLY_DOWNLOAD_PATH, DEADLY_PATH, SAFE_AGENT,
+    },
     get, header, routing_config, MemoryStore, TestGateway,
 };
 use redwingtrestle_gateway::store::{Record, Stream};
@@ -89,6 +91,19 @@
     assert_eq!(runs(), before, "it ran again");
 }
 
+/// Guards against a download that ends server after server because it counts as served at the head of its response.
+#[tokio::test]
+async fn download_that_ends_servers_midway_is_blocked() {
+    let (gateways, servers) = fleet().await;
+    for number in 0..8 {
+        let reply = gateways[0].call(&get(DEADLY_DOWNLOAD_PATH, &format!("deadly-{number}"))).await;
+        assert!(!reply.is_complete || reply.status == 503, "{}", reply.head);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let runs: u32 = servers.iter().map(CrashingServer::runs).sum();
+    assert_eq!(runs, 3, "the third server that ends blocks it");
+}
+
 /// Guards against blocking another caller's request of the same path.
 #[tokio::test]
 async fn same_path_of_another_caller_is_served() {
