Tell long uploads apart by their beginning

Cause: a body above 256 KiB counted by its stated length only, and one in chunks states none. Each good upload cleared the deadly one.

Change: the first 64 KiB of a long body count as well. One that states its length is read so far before it is sent on. The fingerprints of short bodies stay the same.

--- a/crates/gateway/src/outgoing.rs
+++ b/crates/gateway/src/outgoing.rs
@@ -20,6 +20,9 @@
 /// The longest request body that is buffered for retries, in bytes. A longer one is streamed and sent only once.
 const MAX_BUFFERED_BODY: usize = 256 * 1024;
 
+/// How much of a longer body counts for its request's fingerprint, in bytes. So much is read before the body is streamed.
+const BODY_BEGINNING: usize = 64 * 1024;
+
 /// A request as it is sent to servers, without its body and server-specific headers.
 #[derive(Clone, Debug)]
 pub struct OutgoingRequest {
@@ -42,17 +45,18 @@
 }
 
 /// Returns the fingerprint of a request to `host`. Callers are told apart by two headers, not by their addresses, as one
-/// caller may come from several. A body too long to buffer counts by its stated length only.
+/// caller may come from several. A body too long to buffer counts by its beginning and its stated length.
 pub fn fingerprint(host: &str, head: &Parts, body: &RequestBody) -> Fingerprint {
     let header = |name| head.headers.get(name).map_or(&b""[..], HeaderValue::as_bytes);
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
-    let content = match &body.body {
-        PrefixedBody { first: Some(bytes), rest: None } => bytes,
-        _ => header(CONTENT_LENGTH),
+    let first = body.body.first.as_deref().unwrap_or_default();
+    let content = match body.body.rest {
+        None => first.to_vec(),
+        Some(_) => [&first[..first.len().min(BODY_BEGINNING)], header(CONTENT_LENGTH)].concat(),
     };
     let method = head.method.as_str().as_bytes();
     let (authorization, agent) = (header(AUTHORIZATION), header(USER_AGENT));
-    Fingerprint::of(&[method, host.as_bytes(), path.as_bytes(), authorization, agent, content])
+    Fingerprint::of(&[method, host.as_bytes(), path.as_bytes(), authorization, agent, &content])
 }
 
 /// A request body: the buffered beginning, and the unread rest if the body is too long to buffer.
@@ -121,19 +125,15 @@
     if body.size_hint().lower() > limit {
         return Err(ResultCode::BodyTooLarge);
     }
-    if body.size_hint().lower() > MAX_BUFFERED_BODY as u64 {
-        return Ok(RequestBody {
-            body: PrefixedBody { first: None, rest: Some(body) },
-            remaining: limit,
-        });
-    }
+    let is_stated_long = body.size_hint().lower() > MAX_BUFFERED_BODY as u64;
+    let most = if is_stated_long { BODY_BEGINNING } else { MAX_BUFFERED_BODY };
     let mut bytes = BytesMut::new();
     let reading = async {
         while let Some(frame) = body.frame().await {
             if let Ok(data) = frame.map_err(|_| ResultCode::BadRequest)?.into_data() {
                 bytes.extend_from_slice(&data);
             }
-            if bytes.len() > MAX_BUFFERED_BODY {
+            if bytes.len() > most {
                 return Ok(true);
             }
         }
--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -1,6 +1,9 @@
 //! Backend servers that end when they run one certain request, and are back after a while.
 
-use super::{backend::registration, gateway::own_loopback_ip, header, read_request, MemoryStore};
+use super::{
+    backend::registration, gateway::own_loopback_ip, header, read_request, MemoryStore,
+    ReceivedRequest,
+};
 use redwingtrestle_core::process::registration::{Registration, RegistrationState, ServerId};
 use std::{
     net::SocketAddr,
@@ -22,6 +25,9 @@
 /// A path of the request that ends a server in the middle of a response of [`DOWNLOAD_SIZE`] bytes.
 pub(crate) const DEADLY_DOWNLOAD_PATH: &str = "/free/deadly/download";
 
+/// The beginning of a body that ends the servers that get it.
+pub(crate) const DEADLY_BODY: &[u8] = b"deadly";
+
 /// The size of a response that is too long to be collected, in bytes.
 const DOWNLOAD_SIZE: usize = 2_000_000;
 
@@ -37,8 +43,9 @@
 /// The user agent of a caller whose requests end no server.
 pub(crate) const SAFE_AGENT: &str = "safe";
 
-fn is_deadly(head: &str) -> bool {
-    head.contains(DEADLY_PATH) && header(head, "user-agent") != SAFE_AGENT
+fn is_deadly(ReceivedRequest { head, body, .. }: &ReceivedRequest) -> bool {
+    let is_path = head.contains(DEADLY_PATH) && header(head, "user-agent") != SAFE_AGENT;
+    is_path || body.starts_with(DEADLY_BODY)
 }
 
 /// `CrashingServer` counts how often the deadly request began to run.
@@ -99,7 +106,7 @@
 
     async fn serve(&self, mut socket: TcpStream, ended: &watch::Sender<bool>) {
         while let Some(request) = read_request(&mut socket).await {
-            if is_deadly(&request.head) {
+            if is_deadly(&request) {
                 *self.runs.lock().unwrap() += 1;
                 if request.head.contains(DEADLY_DOWNLOAD_PATH) {
                     send_half(&mut socket, &header(&request.head, "redwing-request-id")).await;
--- a/crates/gateway/tests/common/http.rs
+++ b/crates/gateway/tests/common/http.rs
@@ -36,7 +36,30 @@
 /// Reads a request, or returns `None` if the connection ends first.
 pub(crate) async fn read_request(socket: &mut TcpStream) -> Option<ReceivedRequest> {
     let head = read_head(socket).await?;
+    if header(&head, "transfer-encoding") == "chunked" {
+        let body = read_chunks(socket).await?;
+        return Some(ReceivedRequest { head, body, at: Instant::now() });
+    }
     let mut body = vec![0; header(&head, "content-length").parse().unwrap_or(0)];
     socket.read_exact(&mut body).await.ok()?;
     Some(ReceivedRequest { head, body, at: Instant::now() })
 }
+
+/// Reads a body in chunks without trailers, or returns `None` if the connection ends first.
+async fn read_chunks(socket: &mut TcpStream) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut size = Vec::new();
+        while !size.ends_with(b"\r\n") {
+            size.push(socket.read_u8().await.ok()?);
+        }
+        let size = std::str::from_utf8(&size).ok()?.trim_end();
+        let size = usize::from_str_radix(size, 16).ok()?;
+        let mut chunk = vec![0; size + 2];
+        socket.read_exact(&mut chunk).await.ok()?;
+        if size == 0 {
+            return Some(body);
+        }
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
--- a/crates/gateway/tests/crashing_request.rs
+++ b/crates/gateway/tests/crashing_request.rs
@@ -104,6 +104,37 @@
     assert_eq!(runs, 3, "the third server that ends blocks it");
 }
 
+/// Returns an upload of 300 kB that consists of `word` again and again, in chunks or with its length.
+fn upload(word: &str, attempt: &str, is_chunked: bool) -> String {
+    let body = word.repeat(300_000 / word.len());
+    let (framing, body) = match is_chunked {
+        true => (
+            "Transfer-Encoding: chunked".to_string(),
+            format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len()),
+        ),
+        false => (format!("Content-Length: {}", body.len()), body),
+    };
+    let head = get("/free/upload", attempt).replacen("GET", "POST", 1);
+    head.replacen("\r\n\r\n", &format!("\r\n{framing}\r\n\r\n"), 1) + &body
+}
+
+/// Guards against a long upload that ends server after server because other uploads of its length to its path are served.
+#[tokio::test]
+async fn long_upload_that_ends_servers_is_blocked_beside_good_ones() {
+    for is_chunked in [false, true] {
+        let (gateways, servers) = fleet().await;
+        for number in 0..6 {
+            gateways[0].call(&upload("deadly", &format!("deadly-{number}"), is_chunked)).await;
+            // The server is back, so that no good upload is lost with it.
+            tokio::time::sleep(Duration::from_millis(800)).await;
+            let good = upload("normal", &format!("good-{number}"), is_chunked);
+            assert_eq!(gateways[0].call(&good).await.status, 200, "upload {number}");
+        }
+        let runs: u32 = servers.iter().map(CrashingServer::runs).sum();
+        assert_eq!(runs, 3, "the third server that ends blocks it, in chunks: {is_chunked}");
+    }
+}
+
 /// Guards against blocking another caller's request of the same path.
 #[tokio::test]
 async fn same_path_of_another_caller_is_served() {
