Suspect a request that was served long ago at the first server that ends

Cause: a node ignored the first end under a request that it had ever served, and told nobody.

Change: a service counts for the next end only within 3 s before it, and for all ends before it.

--- a/crates/core/src/process/crash_records.rs
+++ b/crates/core/src/process/crash_records.rs
@@ -30,6 +30,10 @@
 /// By this much an end that another node reports may seem later than it was, as its message takes some time.
 const REPORT_DELAY: Span = Span::from_millis(4);
 
+/// A request that was served at this node so short a time before the end of a server is not suspected for that one. It
+/// comes often, so that it is likely to be in flight wherever a server ends, and to be served again soon.
+const SERVED_STANDING: Span = Span::from_secs(3);
+
 /// A request that may be innocent is forgotten this long after the newest end of a server under it.
 const SUSPECT_RETENTION: Span = Span::from_secs(120);
 
@@ -152,11 +156,10 @@
     /// which the request is blocked, if this extends it.
     pub fn record(&mut self, now: Timestamp, report: &CrashReport, is_own: bool) -> Option<Span> {
         let CrashReport { fingerprint, tag, started, age, run } = *report;
-        // A request that was served since the last end of a server under it is not suspected for this one.
-        if self.served.remove(fingerprint) {
+        let at = now - age;
+        if self.was_served_lately(fingerprint, at) {
             return None;
         }
-        let at = now - age;
         if !self.suspects.contains_key(&fingerprint) {
             self.make_room();
         }
@@ -170,6 +173,19 @@
         suspect.block_left(now)
     }
 
+    /// Returns whether a request is not suspected for the end of a server at `at`, as it was served after it or lately. The
+    /// latter holds for one end only.
+    fn was_served_lately(&mut self, fingerprint: Fingerprint, at: Timestamp) -> bool {
+        match self.served.newest(fingerprint) {
+            Some(served) if served >= at => true,
+            Some(served) => {
+                self.served.remove(fingerprint);
+                at.since(served) <= SERVED_STANDING
+            }
+            None => false,
+        }
+    }
+
     /// Forgets the request with the oldest crash if there are too many.
     fn make_room(&mut self) {
         if self.suspects.len() < MAX_REQUESTS {
@@ -182,9 +198,9 @@
     }
 
     /// Records that a server served a request, so that it is not the cause of an end.
-    pub fn record_served(&mut self, fingerprint: Fingerprint) {
+    pub fn record_served(&mut self, now: Timestamp, fingerprint: Fingerprint) {
         self.suspects.remove(&fingerprint);
-        self.served.add(fingerprint);
+        self.served.add(now, fingerprint);
     }
 
     /// Returns how long a request is still blocked, if it is.
--- a/crates/core/tests/crash_records.rs
+++ b/crates/core/tests/crash_records.rs
@@ -118,7 +118,7 @@
 #[test]
 fn request_that_is_served_meanwhile_is_not_blocked() {
     let mut records = records(&[0, 200]);
-    records.record_served(REQUEST);
+    records.record_served(at(300), REQUEST);
     for (tag, millis) in [(3, 400), (4, 600), (5, 800)] {
         records.record(at(millis), &crash(REQUEST, tag, 1), true);
     }
@@ -131,14 +131,14 @@
 #[test]
 fn request_that_is_served_again_keeps_its_standing() {
     let mut records = CrashRecords::default();
-    records.record_served(REQUEST);
-    records.record(at(0), &crash(REQUEST, 1, 1), true);
+    records.record_served(at(0), REQUEST);
+    records.record(at(50), &crash(REQUEST, 1, 1), true);
     for number in 0..4_000 {
-        records.record_served(Fingerprint(1_000 + number));
+        records.record_served(at(100), Fingerprint(1_000 + number));
     }
-    records.record_served(REQUEST);
+    records.record_served(at(100), REQUEST);
     for number in 4_000..4_200 {
-        records.record_served(Fingerprint(1_000 + number));
+        records.record_served(at(100), Fingerprint(1_000 + number));
     }
     for (tag, millis) in [(2, 200), (3, 400), (4, 600)] {
         records.record(at(millis), &crash(REQUEST, tag, 1), true);
@@ -146,6 +146,29 @@
     assert!(!is_blocked(&records, 700));
 }
 
+/// Guards against a request that ends a server uncounted at each node that served it some time ago.
+#[test]
+fn request_that_was_served_long_ago_is_suspected_at_once() {
+    let mut records = CrashRecords::default();
+    records.record_served(at(0), REQUEST);
+    for (tag, millis) in [(1, 10_000), (2, 12_500), (3, 15_000)] {
+        records.record(at(millis), &crash(REQUEST, tag, 1), true);
+    }
+    assert!(is_blocked(&records, 15_100));
+}
+
+/// Guards against a request that is blamed for servers that ended before it was served, as reports of them come late.
+#[test]
+fn late_report_of_an_end_before_the_service_does_not_count() {
+    let mut records = CrashRecords::default();
+    records.record_served(at(1_000), REQUEST);
+    for tag in 1..=3 {
+        let age = Span::from_millis(200 * u64::from(tag) + 100);
+        records.record(at(1_100), &CrashReport { age, ..crash(REQUEST, tag, 1) }, false);
+    }
+    assert!(!is_blocked(&records, 1_200));
+}
+
 /// Guards against a block without end, and against one that lets a request end three more servers each time it is over.
 #[test]
 fn block_ends_and_the_next_server_renews_it_for_longer() {
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -241,7 +241,8 @@
                 self.update_response_size(&response);
                 // A streamed one may still break off, and counts when it is complete.
                 if matches!(response.body, ResponseBody::Whole(_)) {
-                    self.shared.fleet().crash_records.record_served(self.outgoing.fingerprint);
+                    let (now, fingerprint) = (self.shared.now(), self.outgoing.fingerprint);
+                    self.shared.fleet().crash_records.record_served(now, fingerprint);
                 }
                 state.last_end = label.into();
                 return Some(RequestResult::Response(response));
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -147,7 +147,8 @@
 
     /// Records that the server has run the request to its end, so that the request is not the cause of an end.
     pub fn record_served(&self) {
-        self.shared.fleet().crash_records.record_served(self.fingerprint);
+        let now = self.shared.now();
+        self.shared.fleet().crash_records.record_served(now, self.fingerprint);
     }
 
     /// Records a good response, unless it was slow: a slow one is no evidence of health.
