--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -173,13 +173,13 @@
                     LimitCheck::Idle => {
                         is_closing = true;
                         wait = limits.head_time;
-                        Pin::new(&mut connection).graceful_shutdown();
+                        std::pin::Pin::new(&mut connection).graceful_shutdown();
                     }
                 }
             }
             () = wait_for_closing(&mut phase), if !is_closing => {
                 is_closing = true;
-                Pin::new(&mut connection).graceful_shutdown();
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
             }
             // The sender lives as long as the process, so the wait cannot fail.
             _ = head_limit.changed(), if !is_outdated => is_outdated = true,
