--- a/crates/gateway/src/outgoing.rs
+++ b/crates/gateway/src/outgoing.rs
@@ -11,6 +11,7 @@
 };
 use redwingtrestle_core::{codes::ResultCode, ids::ServiceName, process::fingerprint::Fingerprint};
 use std::{
+    borrow::Cow,
     io,
     pin::Pin,
     sync::Arc,
@@ -51,8 +52,11 @@
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let first = body.body.first.as_deref().unwrap_or_default();
     let content = match body.body.rest {
-        None => first.to_vec(),
-        Some(_) => [&first[..first.len().min(BODY_BEGINNING)], header(CONTENT_LENGTH)].concat(),
+        None => Cow::Borrowed(first),
+        Some(_) => {
+            let beginning = &first[..first.len().min(BODY_BEGINNING)];
+            Cow::Owned([beginning, header(CONTENT_LENGTH)].concat())
+        }
     };
     let method = head.method.as_str().as_bytes();
     let (authorization, agent) = (header(AUTHORIZATION), header(USER_AGENT));
