Name only real faults of a refused settings file

An operator whose file lacked an address was also told that seeds is no setting of a gateway: the list was read after the required settings, where reading stops at the first one that is missing. It is read before them now. refused_file_names_only_real_faults failed before. Only the message of a refused file changes.

--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -143,6 +143,7 @@
         let late_cost = number("late_cost", WEIGHT, picker.late_cost);
         let entries_ttl_s = reader.optional::<NonZeroU64>("entries_ttl_s");
         let log_filter = reader.optional("log_filter");
+        let seeds = reader.list("seeds");
         Some(Settings {
             node: node?,
             entry: entry?,
@@ -152,7 +153,7 @@
             metrics: metrics?,
             data_centre: data_centre?,
             store: store?,
-            seeds: reader.list("seeds"),
+            seeds,
             entries_ttl_s: entries_ttl_s.map_or(DEFAULT_ENTRIES_TTL_S, NonZeroU64::get),
             max_stop: max_stop.unwrap_or(DEFAULT_STOP),
             retry_ratio,
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -90,3 +90,12 @@
         assert_eq!(faults[0].code, ResultCode::SettingsSyntax, "{text:?}");
     }
 }
+
+/// Guards against a refused file whose known settings are called unknown, as reading stopped at the first fault.
+#[test]
+fn refused_file_names_only_real_faults() {
+    let text = REQUIRED.replace(r#""store": "127.0.0.1:6""#, r#""seeds": ["10.0.0.1:1"]"#);
+    let faults = Settings::parse(&format!("{{{text}}}")).expect_err("refused settings");
+    let codes: Vec<ResultCode> = faults.iter().map(|fault| fault.code).collect();
+    assert_eq!(codes, [ResultCode::SettingsMissing], "{faults:?}");
+}
