Read workspaces, keys and quotas from the configuration

Callers of a deployment with workspaces were served without a look at their key, which was passed on to backend servers. The configuration's workspaces are read now, a request needs the key of one unless its route is anonymous, and servers get the workspace's name instead of the key.

--- a/crates/core/src/codes.rs
+++ b/crates/core/src/codes.rs
@@ -99,6 +99,8 @@
     BadRequest = 1012, 400, NotRun;
     /// Too many copies of the key already wait for its result.
     KeyBusy = 1013, 409, Unknown;
+    /// The caller's key is missing or belongs to no workspace.
+    UnknownKey = 1014, 401, NotRun;
     /// The queue of the request's rank or workspace is full.
     QueueFull = 2001, 503, NotRun;
     /// The deadline cannot be met, or passed while the request was queued.
@@ -119,6 +121,10 @@
     CrashesServers = 2009, 503, NotRun;
     /// The caller left before a server ran the request, so it is not sent again. Only logs and metrics have this code.
     CallerLeft = 2010, 503, NotRun;
+    /// The workspace has used the requests that its quota allows.
+    QuotaExceeded = 2011, 429, NotRun;
+    /// The node already holds as many bytes of requests as its memory allows.
+    MemoryFull = 2012, 503, NotRun;
     /// The connection was lost after the request was sent.
     ServerLost = 3001, 502, Unknown;
     /// The deadline passed after the request was sent.
--- a/crates/core/src/version/routing_config.rs
+++ b/crates/core/src/version/routing_config.rs
@@ -1,6 +1,9 @@
 //! The gateway's routing configuration with hosts, routes and weighted splits, and its route lookup.
 
-use crate::{ids::ServiceName, time::Span};
+use crate::{
+    ids::{ServiceName, WorkspaceName},
+    time::Span,
+};
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, sync::Arc};
 
@@ -43,6 +46,9 @@
     pub parts: Vec<WeightedService>,
     /// Maximum number of backend servers that one attempt is sent to.
     pub attempts: u32,
+    /// Whether callers need no key, also where the configuration names workspaces.
+    #[serde(default)]
+    pub anonymous: bool,
 }
 
 impl HostRoute {
@@ -93,8 +99,30 @@
     }
 }
 
+/// The requests of a workspace that all nodes together let through.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Quota {
+    /// The sustained rate, in requests per second.
+    pub per_second: f64,
+    /// The requests that may come at once after a calm time.
+    pub burst: f64,
+}
+
+/// A customer whose callers identify themselves by a key.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Workspace {
+    /// The operator's name of the workspace, which backend servers get instead of the key.
+    pub name: WorkspaceName,
+    /// The keys that are valid in this version.
+    pub keys: Vec<Arc<str>>,
+    /// The rank of the workspace's requests, instead of the route's.
+    pub priority: Option<u8>,
+    /// The limit on its requests, `None` for no limit.
+    pub quota: Option<Quota>,
+}
+
 /// A routing configuration as it was read, without the lookup.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RoutingConfigDoc {
     /// The operator's version, which increases but may skip numbers.
     pub version: u64,
@@ -104,6 +132,9 @@
     pub services: HashMap<ServiceName, ServiceRule>,
     /// The limits on callers.
     pub limits: CallerLimits,
+    /// The workspaces. `None` if the deployment has none, and its callers send no keys.
+    #[serde(default)]
+    pub workspaces: Option<Vec<Arc<Workspace>>>,
 }
 
 /// A version of the routing configuration with its route lookup.
@@ -114,6 +145,7 @@
 pub struct RoutingConfig {
     doc: RoutingConfigDoc,
     by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<HostRoute>>>,
+    by_key: HashMap<Arc<str>, Arc<Workspace>>,
 }
 
 impl RoutingConfig {
@@ -124,7 +156,13 @@
             let prefixes = by_host.entry(route.host.clone()).or_default();
             prefixes.insert(route.prefix.clone(), Arc::new(route.clone()));
         }
-        RoutingConfig { doc, by_host }
+        let mut by_key: HashMap<Arc<str>, Arc<Workspace>> = HashMap::new();
+        for workspace in doc.workspaces.iter().flatten() {
+            for key in &workspace.keys {
+                by_key.entry(key.clone()).or_insert_with(|| workspace.clone());
+            }
+        }
+        RoutingConfig { doc, by_host, by_key }
     }
 
     /// Returns the configuration as it was read.
@@ -147,6 +185,16 @@
         self.doc.services.get(name).copied()
     }
 
+    /// Returns whether requests need a key, unless their route is anonymous.
+    pub fn has_workspaces(&self) -> bool {
+        self.doc.workspaces.is_some()
+    }
+
+    /// Returns the workspace that holds a key. One that several workspaces hold belongs to the first of them.
+    pub fn workspace(&self, key: &str) -> Option<&Arc<Workspace>> {
+        self.by_key.get(key)
+    }
+
     /// Returns the host's route with the longest prefix of `path`.
     ///
     /// A port in `host` is ignored, as callers may include it or not.
--- a/crates/core/tests/routing_config.rs
+++ b/crates/core/tests/routing_config.rs
@@ -26,6 +26,7 @@
         priority: 0,
         parts: weights.iter().map(part).collect(),
         attempts: 2,
+        anonymous: false,
     }
 }
 
@@ -37,7 +38,8 @@
         route("other", "b.example", "/docs/", &[("s", 1)]),
     ];
     let services = HashMap::new();
-    let doc = RoutingConfigDoc { version: 1, routes, services, limits: CallerLimits::default() };
+    let limits = CallerLimits::default();
+    let doc = RoutingConfigDoc { version: 1, routes, services, limits, workspaces: None };
     RoutingConfig::new(doc).find(host, path).map(|r| r.name.clone())
 }
 
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -1,6 +1,7 @@
 //! Forwarding of one request: picks a backend server, sends, and retries or hedges where that is safe.
 
 use crate::{
+    authentication::Credentials,
     clock::duration,
     outgoing::{OutgoingRequest, RequestBody},
     server_send::{self, NotRunReason, ResponseBody, SendResult, ServerResponse},
@@ -84,6 +85,10 @@
     pub outgoing: OutgoingRequest,
     /// The version of the configuration that contains the route.
     pub config_version: u64,
+    /// The rank of the work, of its workspace or else of its route.
+    pub rank: u8,
+    /// The caller's key and workspace, if the route requires a key.
+    pub credentials: Option<Credentials>,
     /// When the request arrived.
     pub started_at: Timestamp,
     /// The deadline: the end of the caller's or the route's time limit, whichever is earlier.
@@ -122,7 +127,7 @@
     /// Requests with a limit leave busy servers to more urgent ones.
     fn max_response_time(&self) -> Option<Span> {
         let now = self.shared.now();
-        let (service, rank) = (&self.outgoing.service, self.route.priority);
+        let (service, rank) = (&self.outgoing.service, self.rank);
         let mut fleet = self.shared.fleet();
         fleet.registry.record_rank(now, service, rank, self.route.target);
         let is_unbounded = fleet.rng.random::<f64>() < UNBOUNDED_SHARE;
@@ -317,7 +322,7 @@
             }
             let is_last = self.outgoing.at_most_once || state.sends + 1 >= self.route.attempts;
             let failure_loss = if is_last { 1.0 } else { RETRIABLE_FAILURE_COST };
-            if self.is_blocked() {
+            if self.is_blocked() || self.is_revoked() {
                 return None;
             }
             if let Some(choice) = self.pick(&state.tried, failure_loss, state.max_response_time) {
@@ -398,6 +403,9 @@
         if !state.may_have_run && self.outgoing.caller.has_left() {
             return RequestResult::Failure(ResultCode::CallerLeft);
         }
+        if !state.may_have_run && self.is_revoked() {
+            return RequestResult::Failure(ResultCode::UnknownKey);
+        }
         if !state.may_have_run && self.is_blocked() {
             return RequestResult::Failure(ResultCode::CrashesServers);
         }
@@ -411,6 +419,15 @@
         })
     }
 
+    /// Returns whether the caller's key was revoked while the request waited, so that no further send may begin.
+    fn is_revoked(&self) -> bool {
+        let Some(credentials) = &self.credentials else { return false };
+        let routing_config = self.shared.routing_config.load();
+        routing_config.as_ref().is_some_and(|config| {
+            config.version() != self.config_version && !credentials.hold(config)
+        })
+    }
+
     /// Returns whether servers ended one after the other while they ran this request. Nodes that do not know that yet are
     /// told again.
     fn is_blocked(&self) -> bool {
@@ -494,7 +511,8 @@
             ms = took.as_millis(), last = state.last_end.as_str(),
             failing = choice.map(|c| (c.failure_probability * 100.0) as u64), age_ms = choice.map(|c| c.age.as_millis()),
             trial = choice.map(|c| c.is_trial), load = choice.map(|c| c.load), late = choice.map(|c| (c.late_probability * 100.0) as u64),
-            among = choice.map(|c| c.candidates), limit = choice.and_then(|c| c.limit), rank = self.route.priority,
+            among = choice.map(|c| c.candidates), limit = choice.and_then(|c| c.limit), rank = self.rank,
+            workspace = self.credentials.as_ref().map(|c| c.workspace.name.as_str()),
             target_ms = self.route.target.as_millis(), limit_ms = state.max_response_time.map(Span::as_millis);
             "{result}");
     }
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -19,6 +19,8 @@
     pub leaving: HeaderName,
     /// The requests per second that the server takes from all nodes together.
     pub limit: HeaderName,
+    /// The name of the caller's workspace. Only nodes set it.
+    pub workspace: HeaderName,
 }
 
 impl Default for HeaderNames {
@@ -31,6 +33,7 @@
             signature: HeaderName::from_static("redwing-signature"),
             leaving: HeaderName::from_static("redwing-leaving"),
             limit: HeaderName::from_static("redwing-limit"),
+            workspace: HeaderName::from_static("redwing-workspace"),
         }
     }
 }
--- a/crates/gateway/src/peer_rpc.rs
+++ b/crates/gateway/src/peer_rpc.rs
@@ -40,6 +40,10 @@
     /// The configuration, if it is newer than the calling node's.
     #[serde(rename = "catalog")]
     routing_config: Option<RoutingConfigDoc>,
+    /// Whether the sender reads workspaces. Nodes of the version before drop them from the configuration, and would make
+    /// requests without keys be served.
+    #[serde(default)]
+    reads_workspaces: bool,
     /// The registrations before position `end`, if they are newer than the calling node's.
     servers: Option<ServersDoc>,
 }
@@ -163,7 +167,19 @@
         let since = (known.offset > 0).then(|| fleet.registry.changes_since(known)).flatten();
         ServersDoc::new(end, since, || fleet.registry.registrations())
     });
-    NewerStateDoc { routing_config, servers }
+    NewerStateDoc { routing_config, reads_workspaces: true, servers }
+}
+
+/// Applies a configuration of a peer. Beside workspaces, one without them is taken only from a peer that reads them;
+/// otherwise this node soon reads the store itself.
+fn apply_config(shared: &Shared, doc: &RoutingConfigDoc, reads_workspaces: bool, peer: SocketAddr) {
+    let has_workspaces = shared.routing_config.load().as_ref().is_some_and(|c| c.has_workspaces());
+    if has_workspaces && !reads_workspaces {
+        log::info!(target: "peers", peer:% = peer, version = doc.version;
+            "a configuration of a node of an older version is ignored, as it lacks the workspaces");
+        return;
+    }
+    shared.apply_config(doc, "peer");
 }
 
 /// Gets the state that is newer than this node's from the node at `addr`, and applies it.
@@ -198,9 +214,9 @@
     let response: std::result::Result<NewerStateDoc, _> = client.request(NEWER_STATE, params).await;
     let ms = shared.now().since(begun).as_millis();
     match response {
-        Ok(NewerStateDoc { routing_config, servers }) => {
+        Ok(NewerStateDoc { routing_config, reads_workspaces, servers }) => {
             if let Some(doc) = routing_config {
-                shared.apply_config(&doc, "peer");
+                apply_config(&shared, &doc, reads_workspaces, addr);
             }
             if let Some(servers) = servers {
                 let end = servers.end();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,6 +1,7 @@
 //! Handling of one caller's request: finds its route, service and deadline, forwards it, and builds the reply.
 
 use crate::{
+    authentication::{authenticate, replace_key},
     caller::{CallerGuard, CallerWatch},
     clock::duration,
     connection_state::BusyGuard,
@@ -71,11 +72,11 @@
             reply::from_server(status, headers, body, is_head)
         }
         RequestResult::Failure(code) => {
-            let wait =
-                (code.outcome() == Outcome::NotRun && code.status() == 503).then(|| match target {
-                    Some((service, fingerprint)) => retry_after(&shared, &service, fingerprint),
-                    None => RETRY_AFTER,
-                });
+            let may_return = matches!(code.status(), 429 | 503);
+            let wait = (code.outcome() == Outcome::NotRun && may_return).then(|| match target {
+                Some((service, fingerprint)) => retry_after(&shared, &service, fingerprint),
+                None => RETRY_AFTER,
+            });
             reply::refusal(code, wait)
         }
     };
@@ -112,13 +113,10 @@
     let host =
         head.uri.host().or_else(|| head.headers.get(HOST)?.to_str().ok()).unwrap_or_default();
     let Some(route) = routing_config.find(host, head.uri.path()) else {
-        // Without the store and without peers the configuration may be out of date, and the route may exist by now.
-        let is_isolated = {
-            let fleet = shared.fleet();
-            fleet.config_watch.is_failing() && fleet.peers.live_count(started_at) == 1
-        };
-        return Err(if is_isolated { ResultCode::NotReady } else { ResultCode::NoRoute });
+        let is_outdated = shared.has_outdated_config(started_at);
+        return Err(if is_outdated { ResultCode::NotReady } else { ResultCode::NoRoute });
     };
+    let credentials = authenticate(shared, started_at, &routing_config, &route, &head.headers)?;
     let draw = shared.fleet().rng.random();
     let service = route.service(draw).cloned().ok_or(ResultCode::NoServer)?;
     let requested_ms =
@@ -134,6 +132,9 @@
     reply::strip_hop_by_hop_headers(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     head.headers.remove(EXPECT);
+    if routing_config.has_workspaces() {
+        replace_key(&mut head.headers, &shared.header_names, credentials.as_ref());
+    }
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let uri = path.parse().map_err(|_| ResultCode::BadRequest)?;
     let at_most_once = route.repeat == RepeatPolicy::Once;
@@ -147,9 +148,12 @@
         fingerprint,
         caller,
     };
+    let rank = credentials.as_ref().and_then(|c| c.workspace.priority).unwrap_or(route.priority);
     let routed = RoutedRequest {
         shared: shared.clone(),
         config_version: routing_config.version(),
+        rank,
+        credentials,
         outgoing,
         started_at,
         deadline: started_at + time_limit,
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -62,6 +62,19 @@
     pub even_cost: f64,
     /// The cost of a late response, in failed requests.
     pub late_cost: f64,
+    /// The window in which a workspace's requests are counted against its quota, set in seconds (`quota_window_s`).
+    pub quota_window: Span,
+    /// The share of a quota by which the requests of a window may exceed it.
+    pub quota_over: f64,
+    /// The requests of a window by which a quota may be exceeded in addition.
+    pub quota_slack: f64,
+    /// A node that knows of no contact with the store for this long takes no keys, as they may have been revoked
+    /// (`revocation_ms`). `None` for no limit.
+    pub revocation: Option<Span>,
+    /// The memory of the VM in megabytes.
+    pub memory_mb: f64,
+    /// The processor of the VM in cores.
+    pub cpu_share: f64,
     /// The filter of log lines, by level and target.
     pub log_filter: String,
 }
@@ -141,6 +154,12 @@
         let focus = number("focus", WEIGHT, picker.focus);
         let even_cost = number("even_cost", WEIGHT, picker.even_cost);
         let late_cost = number("late_cost", WEIGHT, picker.late_cost);
+        let quota_over = number("quota_over", SHARE, DEFAULT_QUOTA_OVER);
+        let quota_slack = number("quota_slack", RETRY_FLOOR, DEFAULT_QUOTA_SLACK);
+        let memory_mb = number("memory_mb", MEMORY_MB, DEFAULT_MEMORY_MB);
+        let cpu_share = number("cpu_share", CORES, DEFAULT_CPU_SHARE);
+        let quota_window = reader.number("quota_window_s", WINDOW_S).map(Span::from_secs_f64);
+        let revocation = reader.number("revocation_ms", MILLISECONDS);
         let entries_ttl_s = reader.optional::<NonZeroU64>("entries_ttl_s");
         let log_filter = reader.optional("log_filter");
         let seeds = reader.list("seeds");
@@ -166,6 +185,12 @@
             focus,
             even_cost,
             late_cost,
+            quota_window: quota_window.unwrap_or(DEFAULT_QUOTA_WINDOW),
+            quota_over,
+            quota_slack,
+            revocation: revocation.map(|ms| Span::from_secs_f64(ms / 1e3)),
+            memory_mb,
+            cpu_share,
             log_filter: log_filter.unwrap_or_else(|| logs::DEFAULT_FILTER.into()),
         })
     }
@@ -177,6 +202,12 @@
 const DEFAULT_RETRY_FLOOR: f64 = 10.0;
 const DEFAULT_RETRY_WINDOW: Span = Span::from_secs(10);
 
+const DEFAULT_QUOTA_WINDOW: Span = Span::from_secs(5);
+const DEFAULT_QUOTA_OVER: f64 = 0.1;
+const DEFAULT_QUOTA_SLACK: f64 = 20.0;
+const DEFAULT_MEMORY_MB: f64 = 512.0;
+const DEFAULT_CPU_SHARE: f64 = 0.5;
+
 /// A longer time than a day is a mistake of its unit.
 const SECONDS: RangeInclusive<f64> = 0.0..=86_400.0;
 const MILLISECONDS: RangeInclusive<f64> = 0.0..=86_400_000.0;
@@ -184,6 +215,8 @@
 /// The window of the retry budget, in seconds. It is divided into intervals, so it must not be 0.
 const WINDOW_S: RangeInclusive<f64> = 0.01..=86_400.0;
 
+const MEMORY_MB: RangeInclusive<f64> = 32.0..=1e6;
+const CORES: RangeInclusive<f64> = 0.01..=1_024.0;
 const RETRY_RATIO: RangeInclusive<f64> = 0.0..=100.0;
 const RETRY_FLOOR: RangeInclusive<f64> = 0.0..=1e9;
 const ZONE_COST: RangeInclusive<f64> = 0.0..=1e6;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -224,6 +224,13 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether the configuration may be out of date, so that an unknown route or key may exist by now: the store
+    /// cannot be reached and no other node is heard.
+    pub fn has_outdated_config(&self, now: Timestamp) -> bool {
+        let fleet = self.fleet();
+        fleet.config_watch.is_failing() && fleet.peers.live_count(now) == 1
+    }
+
     /// Returns the state that this node reports to other nodes and to the platform.
     pub fn node_state(&self) -> NodeState {
         if *self.phase.borrow() != Phase::Running {
--- a/crates/gateway/tests/common/routing.rs
+++ b/crates/gateway/tests/common/routing.rs
@@ -19,6 +19,7 @@
         priority: 0,
         parts: vec![WeightedService { service: "orders".into(), weight: 1 }],
         attempts: 2,
+        anonymous: false,
     }
 }
 
@@ -38,5 +39,6 @@
             head_time: Span::from_millis(400),
             idle_time: Span::from_millis(1_500),
         },
+        workspaces: None,
     }
 }
--- a/crates/node/tests/soak/run.rs
+++ b/crates/node/tests/soak/run.rs
@@ -164,6 +164,7 @@
             priority,
             parts: vec![WeightedService { service: service.into(), weight: 1 }],
             attempts: 3,
+            anonymous: false,
         };
         let rule = ServiceRule { connections: 300 };
         self.store.publish(&RoutingConfigDoc {
@@ -176,6 +177,7 @@
             ],
             services: [("orders".into(), rule), ("files".into(), rule)].into(),
             limits: CallerLimits::default(),
+            workspaces: None,
         });
         state.route_history.push((Instant::now(), moves_service));
     }
