--- a/crates/gateway/tests/common/gateway.rs
+++ b/crates/gateway/tests/common/gateway.rs
@@ -55,20 +55,31 @@
 
     async fn start(store: MemoryStore, retry_floor: u64) -> TestGateway {
         let bind = |shared: &Shared| accept::bind(shared).unwrap();
-        TestGateway::start_with(store, retry_floor, STOP_MS, bind).await
+        TestGateway::start_with(store, retry_floor, STOP_MS, "", bind).await
+    }
+
+    /// Like [`with_servers`](Self::with_servers), with these further settings.
+    pub(crate) async fn with_settings(settings: &str, backends: &[&Backend]) -> TestGateway {
+        let bind = |shared: &Shared| accept::bind(shared).unwrap();
+        let (store, settings) = (MemoryStore::default(), format!(", {settings}"));
+        let gateway =
+            TestGateway::start_with(store, DEFAULT_RETRY_FLOOR, STOP_MS, &settings, bind).await;
+        gateway.register(backends).await;
+        gateway
     }
 
     async fn start_with(
         store: MemoryStore,
         retry_floor: u64,
         stop_ms: u64,
+        settings: &str,
         bind: fn(&Shared) -> TcpListener,
     ) -> TestGateway {
         let [entry, health, directory, peer, metrics] = free_addrs();
         let retry_ratio = if retry_floor > 0 { 1.0 } else { 0.1 };
         let text = format!(
             r#"{{"node": "n", "entry": "{entry}", "health": "{health}", "directory": "{directory}", "peer": "{peer}",
-                "metrics": "{metrics}", "data_centre": "a", "store": "127.0.0.1:9", "retry_ratio": {retry_ratio}, "retry_floor": {retry_floor}, "stop_ms": {stop_ms}}}"#
+                "metrics": "{metrics}", "data_centre": "a", "store": "127.0.0.1:9", "retry_ratio": {retry_ratio}, "retry_floor": {retry_floor}, "stop_ms": {stop_ms}{settings}}}"#
         );
         let settings = Settings::parse(&text).expect("settings").settings;
         let shared = Arc::new(Shared::new(settings, HeaderNames::default()));
@@ -104,7 +115,7 @@
     pub(crate) async fn with_slow_link_and_stop(backend: &Backend, stop_ms: u64) -> TestGateway {
         let bind = |shared: &Shared| bind_with_small_buffers(shared.settings.entry);
         let store = MemoryStore::default();
-        let gateway = TestGateway::start_with(store, DEFAULT_RETRY_FLOOR, stop_ms, bind).await;
+        let gateway = TestGateway::start_with(store, DEFAULT_RETRY_FLOOR, stop_ms, "", bind).await;
         gateway.register(&[backend]).await;
         gateway
     }
