--- a/crates/core/src/process/server_registry/mod.rs
+++ b/crates/core/src/process/server_registry/mod.rs
@@ -7,7 +7,7 @@
 use crate::{
     ids::ServiceName,
     process::{
-        health_estimate::{HealthEstimate, HealthOptions},
+        health_estimate::{HealthEstimate, HealthOptions, Observation},
         latency::Latency,
         leaving_servers::LeavingServers,
         recent_ranks::RecentRanks,
@@ -18,7 +18,7 @@
         service_outcomes::ServiceOutcomes,
         start_marks::ServerStart,
         stream_position::StreamPosition,
-        tracked_server::{Counts, Presence, TrackedServer},
+        tracked_server::{Counts, Presence, ServerReport, TrackedServer},
     },
     time::{Span, Timestamp},
 };
@@ -85,6 +85,8 @@
     recent_ranks: HashMap<ServiceName, RecentRanks>,
     /// Servers with use that was not reported to the peers yet.
     unreported: Vec<ServerId>,
+    /// Reports on servers that were removed since the last report.
+    last_reports: Vec<ServerReport>,
     /// Servers whose limit the other nodes should be told.
     unreported_limits: Vec<ServerId>,
     /// The nodes among which limits are divided.
@@ -112,6 +114,7 @@
             refusals: HashMap::new(),
             recent_ranks: HashMap::new(),
             unreported: Vec::new(),
+            last_reports: Vec::new(),
             unreported_limits: Vec::new(),
             nodes: NodeCounts::default(),
             restored: HashMap::new(),
@@ -337,7 +340,14 @@
     }
 
     /// Removes a server whose address now belongs to another server. A newer record of it adds it again.
+    ///
+    /// The other nodes are told of a failure, as each of them would otherwise lose a request and a retry to find out.
     pub fn remove_displaced(&mut self, id: &ServerId) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.counts.add(Observation::Error);
+            let counts = std::mem::take(&mut server.counts);
+            self.last_reports.push(ServerReport { tag: id.tag(), counts, in_flight: 0 });
+        }
         match self.servers.get(id) {
             Some(server) if server.presence == Presence::Ended => {
                 self.changes.record_unknown_end(server.presence_since, id, server.position);
--- a/crates/core/src/process/server_registry/observations.rs
+++ b/crates/core/src/process/server_registry/observations.rs
@@ -140,9 +140,9 @@
         }
     }
 
-    /// Returns and resets the reports on all servers used since the last call.
+    /// Returns and resets the reports on all servers used since the last call, and on those removed since then.
     pub fn take_reports(&mut self) -> Vec<ServerReport> {
-        let mut reports = Vec::with_capacity(self.unreported.len());
+        let mut reports = std::mem::take(&mut self.last_reports);
         for id in std::mem::take(&mut self.unreported) {
             let Some(server) = self.servers.get_mut(&id) else { continue };
             let counts = std::mem::take(&mut server.counts);
--- a/crates/core/tests/server_registry.rs
+++ b/crates/core/tests/server_registry.rs
@@ -553,6 +553,22 @@
     }
 }
 
+/// Guards against a server at whose address another one runs, and that each node of the fleet has to find out by itself.
+#[test]
+fn displaced_server_is_a_suspect_at_the_other_nodes() {
+    let (mut finder, mut other) = (registry(3), registry(3));
+    finder.record_send(at(900), &id(1));
+    finder.remove_displaced(&id(1));
+    let reports = finder.take_reports();
+    assert_eq!(reports.len(), 1, "one report on the removed server");
+    for report in &reports {
+        other.add_peer_report(at(1_000), 7, report);
+    }
+    let suspects: Vec<ServerId> = other.suspects(at(1_000)).into_iter().map(|(id, _)| id).collect();
+    assert_eq!(suspects, [id(1)]);
+    assert!(finder.take_reports().is_empty(), "it is told once");
+}
+
 /// Guards against a full list to every node of a fleet because one of them started.
 #[test]
 fn node_that_got_a_full_list_relays_changes() {
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -376,7 +376,8 @@
             response_sizes.get(&self.route.name).copied().unwrap_or(DEFAULT_RESPONSE_BYTES);
         let pick_request = PickRequest {
             service,
-            target: self.route.target,
+            // After the deadline a response is worth nothing, so it is late at the latest then.
+            target: self.route.target.min(self.deadline.since(now)),
             zone: &shared.data_centre,
             failure_loss,
             bytes: response_bytes + EXCHANGE_OVERHEAD_BYTES,
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -122,6 +122,7 @@
             }
             registry.remove_displaced(&self.id);
         }
+        self.shared.report_now.notify_one();
         self.shared.pool.close_idle(&self.id);
         log::info!(target: "servers", server = self.server(), attempt = self.attempt();
             "the address belongs to another server now, the server gets no more requests");
