--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -60,6 +60,8 @@
             log::info!(target: "requests", attempt = &*attempt, code = code.number(),
                 version = shared.routing_config.load().as_ref().map_or(0, |c| c.version());
                 "request refused before it was sent to a server: {code}");
+            metrics::counter!("redwing_gateway_refusals_total", "code" => code.to_string())
+                .increment(1);
             RequestResult::Failure(code)
         }
     };
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -40,6 +40,10 @@
 fn describe() {
     use metrics::{describe_counter, describe_gauge, describe_histogram, Unit};
     describe_counter!("redwing_gateway_requests_total", "Requests by service and result");
+    describe_counter!(
+        "redwing_gateway_refusals_total",
+        "Requests refused before a server was chosen, by code"
+    );
     describe_histogram!(
         "redwing_gateway_request_seconds",
         Unit::Seconds,
