Weigh entries by processor, and slow down messages of small VMs

Callers picked a gateway with a tenth of a core as often as one with half a core, and a small gateway spent its processor on as many messages between nodes as a large one.

Cause: the directory listed each entry once, and intervals and fan-outs followed from the number of nodes alone.

Each status now ends with the sender's processor and the slowdown of its messages. The directory repeats entries of VMs with at least 2.5 times the smallest processor; no entry is left out for that, since callers drop connections to entries that a newer response lacks. Below 0.2 cores of the node or of the median node, status messages and periodic reports are fewer, within bounds. Receivers expect the announced slowdown, which grows slowly, and nobody slows down while a node without the new part is known. The tests that build a status get the two new fields; none of their checks changes.

Not measured: processor time on a real VM.

--- a/crates/core/src/process/peer_table.rs
+++ b/crates/core/src/process/peer_table.rs
@@ -3,8 +3,11 @@
 use crate::{
     ids::DataCentre,
     process::{
+        cpu_share::{self, CpuShare},
+        entry_rows::choose_rows,
         fan_out::{FleetSize, MAX_FAILURE_BATCH, MAX_NEAR_BATCH},
         server_limit::NodeCounts,
+        slowdown::{Slowdown, SlowdownRamp},
         stream_position::StreamPosition,
     },
     time::{Span, Timestamp},
@@ -41,6 +44,11 @@
     pub registry_position: StreamPosition,
     /// Whether the store responds to the node.
     pub store_reachable: bool,
+    /// The processor of the node's VM, if it is known.
+    pub cpu_share: Option<CpuShare>,
+    /// The slowdown of the node's messages. Nodes of earlier versions announce none: they send at the usual intervals, and
+    /// expect others to do so.
+    pub slowdown: Option<Slowdown>,
 }
 
 impl NodeStatus {
@@ -61,6 +69,8 @@
     pub near_fanout: usize,
     /// Maximum nodes of each other data centre that get a status message at once.
     pub far_fanout: usize,
+    /// The processor of this node's VM.
+    pub cpu_share: CpuShare,
 }
 
 impl Default for PeerTableOptions {
@@ -70,6 +80,7 @@
             store_readers: 2,
             near_fanout: MAX_NEAR_BATCH,
             far_fanout: 4,
+            cpu_share: CpuShare::default(),
         }
     }
 }
@@ -84,6 +95,8 @@
     last_received: Timestamp,
     /// When this node last sent it a message.
     last_sent: Option<Timestamp>,
+    /// The slowdown that the last message to it announced.
+    announced: Slowdown,
 }
 
 /// The known peer nodes with their newest status.
@@ -95,12 +108,20 @@
     peers: HashMap<SocketAddr, Peer>,
     /// Known nodes by data centre, without this one.
     zone_sizes: HashMap<DataCentre, usize>,
+    slowdown: SlowdownRamp,
 }
 
 impl PeerTable {
     /// Creates an empty table for the node at the peer address `own`.
     pub fn new(options: PeerTableOptions, own: SocketAddr, zone: DataCentre) -> Self {
-        PeerTable { options, own, zone, peers: HashMap::new(), zone_sizes: HashMap::new() }
+        PeerTable {
+            options,
+            own,
+            zone,
+            peers: HashMap::new(),
+            zone_sizes: HashMap::new(),
+            slowdown: SlowdownRamp::default(),
+        }
     }
 
     /// Adds the address of a node learned from a third party. Returns whether it is new.
@@ -108,7 +129,9 @@
         if addr == self.own || self.peers.contains_key(&addr) {
             return false;
         }
-        self.peers.insert(addr, Peer { status: None, last_received: now, last_sent: None });
+        let peer =
+            Peer { status: None, last_received: now, last_sent: None, announced: Slowdown::NONE };
+        self.peers.insert(addr, peer);
         true
     }
 
@@ -120,8 +143,10 @@
         let was_live = self.is_live_start(now, addr, status.start);
         let zone = status.zone.clone();
         let status = Some(status);
-        let last_sent = self.peers.get(&addr).and_then(|p| p.last_sent);
-        let old = self.peers.insert(addr, Peer { status, last_received: now, last_sent });
+        let sent = self.peers.get(&addr).map(|p| (p.last_sent, p.announced));
+        let (last_sent, announced) = sent.unwrap_or_default();
+        let old =
+            self.peers.insert(addr, Peer { status, last_received: now, last_sent, announced });
         if old.and_then(|p| p.status).is_none_or(|s| s.zone != zone) {
             self.update_zone_sizes();
         }
@@ -136,7 +161,7 @@
 
     fn is_live(&self, now: Timestamp, peer: &Peer) -> bool {
         let Some(status) = &peer.status else { return false };
-        let limit = self.interval_of(&status.zone).times(self.options.missed_intervals);
+        let limit = self.interval_of(status).times(self.options.missed_intervals);
         now.since(peer.last_received) <= limit
     }
 
@@ -150,17 +175,41 @@
         FleetSize { near: same.saturating_sub(1), far: all - same }
     }
 
-    /// Returns the interval at which a node of `zone` sends its status to this node. It follows from the fleet that the
-    /// sender sees: a node of a small data centre has more nodes to inform elsewhere.
-    fn interval_of(&self, zone: &DataCentre) -> Span {
-        let size = self.size_seen_from(zone);
-        if *zone == self.zone {
-            size.near_interval()
+    /// Returns the interval at which a node sends its status to this node. It follows from the fleet that the sender sees:
+    /// a node of a small data centre has more nodes to inform elsewhere. The sender announces by how much it is stretched.
+    fn interval_of(&self, sender: &NodeStatus) -> Span {
+        let size = self.size_seen_from(&sender.zone);
+        let slowdown = sender.slowdown.unwrap_or_default();
+        if sender.zone == self.zone {
+            size.slow_near_interval(slowdown)
         } else {
-            size.far_interval()
+            size.slow_far_interval(slowdown)
         }
     }
 
+    /// Returns the slowdown of this node's messages, which its status announces.
+    pub fn slowdown(&self) -> Slowdown {
+        self.slowdown.current()
+    }
+
+    /// Returns the slowdown that suits the known nodes. A node of an earlier version would take slower ones for lost, so
+    /// there is none beside it.
+    pub fn suitable_slowdown(&self) -> Slowdown {
+        let mut statuses = self.peers.values().filter_map(|peer| peer.status.as_ref());
+        if statuses.any(|status| status.slowdown.is_none()) {
+            return Slowdown::NONE;
+        }
+        Slowdown::for_shares(self.options.cpu_share, self.typical_share())
+    }
+
+    /// Returns the median share of the known nodes, including this one. A node whose share is unknown counts as typical.
+    pub fn typical_share(&self) -> CpuShare {
+        let statuses = self.peers.values().filter_map(|peer| peer.status.as_ref());
+        let shares = statuses.filter_map(|status| status.cpu_share);
+        let own = self.options.cpu_share;
+        cpu_share::typical(shares.chain([own])).unwrap_or(own)
+    }
+
     /// Returns the size of the fleet as this node sees it.
     pub fn fleet_size(&self) -> FleetSize {
         self.size_seen_from(&self.zone)
@@ -200,19 +249,25 @@
         NodeCounts { live: self.live_count(now) as u32, known: known as u32 }
     }
 
-    /// Returns the nodes that are due a status message and records it as sent.
+    /// Returns the nodes that are due a status message and records it as sent, with the present
+    /// [`slowdown`](Self::slowdown). A node is due by the slowdown that was announced to it.
     pub fn take_due(&mut self, now: Timestamp, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let known = self.peers.len();
         self.peers.retain(|_, p| now.since(p.last_received) <= SILENT_RETENTION);
         if self.peers.len() != known {
             self.update_zone_sizes();
         }
-        let size = self.fleet_size();
-        let (near, far) = (size.near_interval(), size.far_interval());
+        self.slowdown.update(now, self.suitable_slowdown());
+        let (size, slowdown) = (self.fleet_size(), self.slowdown());
         let mut due: HashMap<Option<DataCentre>, Vec<SocketAddr>> = HashMap::new();
         for (addr, peer) in &self.peers {
             let zone = peer.status.as_ref().map(|s| s.zone.clone());
-            let interval = if zone.as_ref() == Some(&self.zone) { near } else { far };
+            let expected = peer.announced.min(slowdown);
+            let interval = if zone.as_ref() == Some(&self.zone) {
+                size.slow_near_interval(expected)
+            } else {
+                size.slow_far_interval(expected)
+            };
             if peer.last_sent.is_none_or(|sent| now.since(sent) >= interval) {
                 due.entry(zone).or_default().push(*addr);
             }
@@ -229,6 +284,7 @@
         for addr in &chosen {
             if let Some(peer) = self.peers.get_mut(addr) {
                 peer.last_sent = Some(now);
+                peer.announced = slowdown;
             }
         }
         chosen
@@ -239,6 +295,18 @@
         &self,
         now: Timestamp,
         rng: &mut impl Rng,
+    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let usual = self.options.near_fanout;
+        let fanout = self.fleet_size().report_fanout(self.slowdown(), usual);
+        (self.near_sample(now, fanout, rng), self.relays(now, rng))
+    }
+
+    /// Returns the targets of a report of changes. There are as many as of a periodic one without slowdown, as a change is
+    /// reported once.
+    pub fn change_targets(
+        &self,
+        now: Timestamp,
+        rng: &mut impl Rng,
     ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         (self.nearby_peers(now, rng), self.relays(now, rng))
     }
@@ -262,7 +330,7 @@
         zones.into_values().filter_map(|addrs| addrs.into_iter().choose(rng)).collect()
     }
 
-    /// Returns a random selection of live nodes in the same data centre that get a periodic report.
+    /// Returns a random selection of live nodes in the same data centre that hear of a change.
     pub fn nearby_peers(&self, now: Timestamp, rng: &mut impl Rng) -> Vec<SocketAddr> {
         self.near_sample(now, self.options.near_fanout, rng)
     }
@@ -273,7 +341,8 @@
     }
 
     /// Returns up to `max` entries for a caller in `zone`, chosen at random if there are more; `own` is this node's
-    /// entry if it serves callers.
+    /// entry if it serves callers. Entries of VMs that are much larger than the smallest are repeated, as callers pick
+    /// one at random.
     ///
     /// Callers get the entries of their own data centre, because responses from another one are slower and charged. If
     /// there are fewer than two, they get all entries, because a single entry may fail at any moment.
@@ -285,17 +354,18 @@
         max: usize,
         rng: &mut impl Rng,
     ) -> Vec<SocketAddr> {
-        let mut all: Vec<(bool, SocketAddr)> = self
+        let typical = self.typical_share();
+        let mut all: Vec<(bool, (SocketAddr, CpuShare))> = self
             .live_peers(now)
             .filter(|(_, s)| s.state == NodeState::Ready)
-            .map(|(_, s)| (s.zone.as_str() == zone, s.entry))
+            .map(|(_, s)| (s.zone.as_str() == zone, (s.entry, s.cpu_share.unwrap_or(typical))))
             .collect();
-        all.extend(own.map(|entry| (self.zone.as_str() == zone, entry)));
+        let share = self.options.cpu_share;
+        all.extend(own.map(|entry| (self.zone.as_str() == zone, (entry, share))));
         let near = all.iter().filter(|(is_near, _)| *is_near).count();
-        let usable = all.into_iter().filter(|(is_near, _)| near < MIN_NEAR_ENTRIES || *is_near);
-        let mut entries = usable.map(|(_, entry)| entry).choose_multiple(rng, max);
-        entries.sort_unstable();
-        entries
+        all.retain(|(is_near, _)| near < MIN_NEAR_ENTRIES || *is_near);
+        let usable: Vec<_> = all.into_iter().map(|(_, entry)| entry).collect();
+        choose_rows(&usable, max, rng)
     }
 
     /// Returns whether this node, which knows the era `era` of the store, watches the store itself, as one of the lowest
--- a/crates/core/tests/fan_out.rs
+++ b/crates/core/tests/fan_out.rs
@@ -56,6 +56,8 @@
         config_version: 1,
         registry_position: StreamPosition::new(0, 1),
         store_reachable: true,
+        cpu_share: None,
+        slowdown: None,
     }
 }
 
--- a/crates/core/tests/node_retry_budget.rs
+++ b/crates/core/tests/node_retry_budget.rs
@@ -158,6 +158,8 @@
         config_version: 1,
         registry_position: StreamPosition::default(),
         store_reachable: true,
+        cpu_share: None,
+        slowdown: None,
     }
 }
 
--- a/crates/core/tests/peer_table.rs
+++ b/crates/core/tests/peer_table.rs
@@ -33,6 +33,8 @@
         config_version: 3,
         registry_position: offset(9),
         store_reachable: true,
+        cpu_share: None,
+        slowdown: None,
     }
 }
 
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -2,11 +2,13 @@
 
 use redwingtrestle_core::{
     process::{
+        cpu_share::CpuShare,
         crash_records::CrashReport,
         fingerprint::Fingerprint,
         peer_table::NodeState,
         server_limit::LimitReport,
         service_outcomes::OutcomeCounts,
+        slowdown::Slowdown,
         store_contact::ContactReport,
         tracked_server::{Counts, ServerReport},
     },
@@ -75,6 +77,16 @@
     pub(crate) era: u64,
     /// The newest contact with the store that the sender knows of.
     pub(crate) contact: Option<ContactReport>,
+    /// The sender's processor and the slowdown of its messages.
+    pub(crate) pace: Option<Pace>,
+}
+
+/// The processor of a node and the slowdown of its messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Pace {
+    /// The processor, `None` if the sender announced one that no VM can have.
+    pub(crate) share: Option<CpuShare>,
+    pub(crate) slowdown: Slowdown,
 }
 
 /// Encodes a datagram. `tail` follows it instead of being a field, because a node of the version before would drop a
@@ -88,14 +100,19 @@
     if tail == StatusTail::default() {
         return Ok(bytes);
     }
-    let bytes = postcard::to_extend(&tail.era, bytes)?;
-    match tail.contact {
-        Some(contact) => postcard::to_extend(&ContactDoc::from(contact), bytes),
+    let mut bytes = postcard::to_extend(&tail.era, bytes)?;
+    if tail.contact.is_some() || tail.pace.is_some() {
+        let contact = tail.contact.map_or(NO_CONTACT, ContactDoc::from);
+        bytes = postcard::to_extend(&contact, bytes)?;
+    }
+    match tail.pace {
+        Some(pace) => postcard::to_extend(&PaceDoc::from(pace), bytes),
         None => Ok(bytes),
     }
 }
 
-/// Decodes a datagram with its tail. Without a tail, the era is 0 and no contact is known.
+/// Decodes a datagram with its tail. Without a tail, the era is 0 and neither contact nor pace is known. What follows the
+/// known parts is of a later version and ignored.
 pub(crate) fn decode(bytes: &[u8]) -> postcard::Result<(Datagram, StatusTail)> {
     let (mut datagram, rest) = postcard::take_from_bytes(bytes)?;
     if let Datagram::Crashes { rows, .. } = &mut datagram {
@@ -109,11 +126,14 @@
         return Ok((datagram, StatusTail::default()));
     }
     let (era, rest) = postcard::take_from_bytes(rest)?;
-    let contact = match rest {
-        [] => None,
-        _ => Some(ContactReport::from(postcard::from_bytes::<ContactDoc>(rest)?)),
-    };
-    Ok((datagram, StatusTail { era, contact }))
+    if rest.is_empty() {
+        return Ok((datagram, StatusTail { era, ..StatusTail::default() }));
+    }
+    let (contact, rest) = postcard::take_from_bytes::<ContactDoc>(rest)?;
+    let contact = (contact.number > 0).then(|| contact.into());
+    // A node whose pace cannot be read counts as one of an earlier version, which gets messages at the usual intervals.
+    let pace = postcard::from_bytes::<PaceDoc>(rest).ok().map(Pace::from);
+    Ok((datagram, StatusTail { era, contact, pace }))
 }
 
 /// The encoding of a [`ContactReport`].
@@ -124,6 +144,10 @@
     age_ms: u32,
 }
 
+/// Stands for no contact where a pace follows, as a contact's number is at least 1. Earlier versions take it for a contact
+/// that is older than all others.
+const NO_CONTACT: ContactDoc = ContactDoc { node: 0, number: 0, age_ms: u32::MAX };
+
 impl From<ContactReport> for ContactDoc {
     fn from(ContactReport { node, number, age }: ContactReport) -> Self {
         ContactDoc { node, number, age_ms: age_ms(age) }
@@ -136,6 +160,27 @@
     }
 }
 
+/// The encoding of a [`Pace`]: the processor in thousandths of a core, 0 if it is unknown, and the slowdown in percent.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct PaceDoc {
+    share: u32,
+    slowdown: u32,
+}
+
+impl From<Pace> for PaceDoc {
+    fn from(Pace { share, slowdown }: Pace) -> Self {
+        let share = share.map_or(0, CpuShare::thousandths);
+        PaceDoc { share, slowdown: slowdown.percent() }
+    }
+}
+
+impl From<PaceDoc> for Pace {
+    fn from(PaceDoc { share, slowdown }: PaceDoc) -> Self {
+        let share = CpuShare::from_thousandths(share);
+        Pace { share, slowdown: Slowdown::from_percent(slowdown) }
+    }
+}
+
 /// The observations of one node.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct ReportDoc {
--- a/crates/gateway/src/gossip/mod.rs
+++ b/crates/gateway/src/gossip/mod.rs
@@ -7,7 +7,7 @@
 use crate::{
     clock::duration,
     datagram::{
-        self, CrashDoc, Datagram, LimitDoc, OutcomesDoc, ReportDoc, RowDoc, StatusTail,
+        self, CrashDoc, Datagram, LimitDoc, OutcomesDoc, Pace, ReportDoc, RowDoc, StatusTail,
         MAX_DATAGRAM, MAX_OUTCOMES, MAX_ROWS, MAX_SERVER_ROWS,
     },
     shared::{Fleet, Shared},
@@ -16,9 +16,10 @@
 use redwingtrestle_core::{
     ids::DataCentre,
     process::{
-        crash_records::CrashReport, peer_table::NodeStatus, server_limit::LimitReport,
-        service_outcomes::OutcomeCounts, store_contact::ContactReport,
-        stream_position::StreamPosition, tracked_server::ServerReport,
+        cpu_share::CpuShare, crash_records::CrashReport, fan_out, peer_table::NodeStatus,
+        server_limit::LimitReport, service_outcomes::OutcomeCounts, slowdown::Slowdown,
+        store_contact::ContactReport, stream_position::StreamPosition,
+        tracked_server::ServerReport,
     },
     time::{Span, Timestamp},
 };
@@ -28,15 +29,23 @@
 /// How often the gossip task checks which messages are due.
 const TICK_INTERVAL: Span = Span::from_millis(100);
 
-/// The time between two reports while no failure is observed.
-const REPORT_INTERVAL: Span = Span::from_millis(250);
-
 /// How long an urgent report waits for further failures to include.
 const URGENT_REPORT_DELAY: Span = Span::from_millis(3);
 
 /// After a suspension of the machine for longer than this, all state is read again.
 const MAX_SUSPENSION: Span = Span::from_millis(500);
 
+/// The nodes that get a report of each kind.
+#[derive(Clone, Copy, Debug)]
+enum Audience {
+    /// Some nodes of this data centre, and fewer while messages are slowed down.
+    Periodic,
+    /// Some nodes of this data centre.
+    Change,
+    /// More nodes of this data centre.
+    Failure,
+}
+
 /// The task that sends and receives the datagrams.
 #[derive(Debug)]
 pub struct Gossip {
@@ -46,6 +55,7 @@
     last_relayed: Timestamp,
     suspended: Span,
     live_nodes: usize,
+    slowdown: Slowdown,
     catch_up: CatchUp,
     relay_queue: RelayQueue,
 }
@@ -66,6 +76,7 @@
             last_relayed: now,
             suspended,
             live_nodes: 0,
+            slowdown: Slowdown::NONE,
             catch_up: CatchUp::default(),
             relay_queue: RelayQueue::default(),
         }
@@ -99,8 +110,7 @@
     }
 
     async fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
-        metrics::counter!("redwing_peer_bytes_total", "direction" => "in")
-            .increment(bytes.len() as u64);
+        count_datagram("in", bytes.len());
         let now = self.shared.now();
         let (datagram, tail) = match datagram::decode(bytes) {
             Ok(decoded) => decoded,
@@ -130,6 +140,8 @@
                     config_version,
                     registry_position: StreamPosition::new(tail.era, registry_position),
                     store_reachable,
+                    cpu_share: tail.pace.and_then(|pace| pace.share),
+                    slowdown: tail.pace.map(|pace| pace.slowdown),
                 };
                 self.record_status(now, from, status, tail.contact).await;
             }
@@ -161,7 +173,7 @@
             Datagram::Crashes { relay, rows } => {
                 self.apply_crashes(now, from, &rows);
                 if relay {
-                    let (near, _) = self.report_targets(now, true);
+                    let (near, _) = self.report_targets(now, Audience::Failure);
                     self.send(&Datagram::Crashes { relay: false, rows }, &near).await;
                 }
             }
@@ -176,6 +188,7 @@
         contact: Option<ContactReport>,
     ) {
         let (start, version) = (status.start, status.config_version);
+        let cpu_thousandths = status.cpu_share.map(CpuShare::thousandths);
         let is_new = {
             let mut fleet = self.shared.fleet();
             if let Some(contact) = contact {
@@ -184,7 +197,7 @@
             fleet.peers.record_status(now, from, status)
         };
         if is_new {
-            log::info!(target: "peers", peer:% = from, start, version;
+            log::info!(target: "peers", peer:% = from, start, version, cpu_thousandths:?;
                 "received the first datagram of a node that was unknown, silent or restarted");
             self.send_status_and_nodes(from).await;
         }
@@ -225,13 +238,14 @@
         }
     }
 
-    /// Relays a report of another data centre: failures at once, all else together each [`REPORT_INTERVAL`].
+    /// Relays a report of another data centre: failures at once, all else together each
+    /// [`report_interval`](fan_out::report_interval).
     async fn relay(&mut self, now: Timestamp, report: ReportDoc) {
         if !report.has_failure() {
             self.relay_queue.push(report);
             return;
         }
-        let (near, _) = self.report_targets(now, true);
+        let (near, _) = self.report_targets(now, Audience::Failure);
         let ReportDoc { from, rows, outcomes } = report;
         self.send(&Datagram::Report { from, relay: false, rows, outcomes }, &near).await;
     }
@@ -240,14 +254,14 @@
     fn report_targets(
         &self,
         now: Timestamp,
-        is_failure: bool,
+        audience: Audience,
     ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let mut fleet = self.shared.fleet();
         let Fleet { peers, rng, .. } = &mut *fleet;
-        if is_failure {
-            peers.failure_targets(now, rng)
-        } else {
-            peers.report_targets(now, rng)
+        match audience {
+            Audience::Periodic => peers.report_targets(now, rng),
+            Audience::Change => peers.change_targets(now, rng),
+            Audience::Failure => peers.failure_targets(now, rng),
         }
     }
 
@@ -276,11 +290,12 @@
     fn status(&self) -> (Datagram, StatusTail) {
         let state = self.shared.node_state().into();
         let config_version = self.shared.routing_config.load().as_ref().map_or(0, |c| c.version());
-        let (position, store_reachable, contact) = {
+        let (position, store_reachable, contact, slowdown) = {
             let fleet = self.shared.fleet();
             let is_failing = fleet.server_watch.is_failing() || fleet.config_watch.is_failing();
             let contact = fleet.store_contacts.newest(self.shared.now());
-            (fleet.server_watch.position().unwrap_or_default(), !is_failing, contact)
+            let position = fleet.server_watch.position().unwrap_or_default();
+            (position, !is_failing, contact, fleet.peers.slowdown())
         };
         let data_centre = self.shared.data_centre.as_str().to_string();
         let entry = self.shared.settings.entry;
@@ -293,21 +308,25 @@
             registry_position: position.offset,
             store_reachable,
         };
-        (status, StatusTail { era: position.era, contact })
+        let share = Some(CpuShare::from_cores(self.shared.settings.cpu_share));
+        let pace = Some(Pace { share, slowdown });
+        (status, StatusTail { era: position.era, contact, pace })
     }
 
     /// Tells other nodes the limits that this node's responses have named since the last call.
     async fn send_limits(&self) {
         let reports = self.shared.fleet().registry.take_limit_reports(self.shared.now());
         let rows: Vec<LimitDoc> = reports.into_iter().map(LimitDoc::from).collect();
-        self.tell_fleet(&rows, false, |relay, rows| Datagram::Limits { relay, rows }).await;
+        self.tell_fleet(&rows, Audience::Change, |relay, rows| Datagram::Limits { relay, rows })
+            .await;
     }
 
     /// Tells other nodes the servers that have ended while they ran a request since the last call.
     async fn send_crashes(&self) {
         let reports = self.shared.fleet().crash_records.take_reports(self.shared.now());
         let rows: Vec<CrashDoc> = reports.into_iter().map(CrashDoc::from).collect();
-        self.tell_fleet(&rows, true, |relay, rows| Datagram::Crashes { relay, rows }).await;
+        self.tell_fleet(&rows, Audience::Failure, |relay, rows| Datagram::Crashes { relay, rows })
+            .await;
     }
 
     /// Sends rows to the nodes that get a report, see [`report_targets`](Self::report_targets). `datagram` gets whether
@@ -315,13 +334,13 @@
     async fn tell_fleet<T: Copy>(
         &self,
         rows: &[T],
-        is_failure: bool,
+        audience: Audience,
         datagram: impl Fn(bool, Vec<T>) -> Datagram,
     ) {
         if rows.is_empty() {
             return;
         }
-        let (near, relays) = self.report_targets(self.shared.now(), is_failure);
+        let (near, relays) = self.report_targets(self.shared.now(), audience);
         self.send_rows(rows, &near, |rows| datagram(false, rows)).await;
         self.send_rows(rows, &relays, |rows| datagram(true, rows)).await;
     }
@@ -360,21 +379,40 @@
             metrics::gauge!("redwing_gateway_peers").set((live_nodes - 1) as f64);
             self.live_nodes = live_nodes;
         }
+        self.log_slowdown();
         if !due.is_empty() {
             self.send_status(&due).await;
         }
-        if now.since(self.last_report) >= REPORT_INTERVAL {
+        let report_interval = fan_out::report_interval(self.shared.fleet().peers.slowdown());
+        if now.since(self.last_report) >= report_interval {
             self.send_report(false).await;
         }
         self.send_limits().await;
         self.send_crashes().await;
-        if now.since(self.last_relayed) >= REPORT_INTERVAL {
+        if now.since(self.last_relayed) >= report_interval {
             self.send_relayed().await;
         }
         self.shared.pool.close_expired(now);
         self.catch_up.fetch_newer_state(now, &self.shared);
     }
 
+    /// Logs a change of the slowdown that suits the fleet, and shows the one in force, which follows it slowly.
+    fn log_slowdown(&mut self) {
+        let (current, suitable, typical) = {
+            let peers = &self.shared.fleet().peers;
+            (peers.slowdown(), peers.suitable_slowdown(), peers.typical_share())
+        };
+        metrics::gauge!("redwing_gateway_message_slowdown").set(f64::from(current.percent()) / 1e2);
+        metrics::gauge!("redwing_gateway_typical_cores")
+            .set(f64::from(typical.thousandths()) / 1e3);
+        if suitable != self.slowdown {
+            log::info!(target: "peers", percent = suitable.percent(), before = self.slowdown.percent(),
+                typical_thousandths = typical.thousandths();
+                "the intervals of messages to other nodes change with the processors of the fleet");
+            self.slowdown = suitable;
+        }
+    }
+
     /// Reads all state again after the machine was suspended, as the known state may be out of date.
     fn check_suspension(&mut self) {
         let suspended = self.shared.clock.suspended();
@@ -402,7 +440,8 @@
             let counts = registry.take_outcome_counts().into_iter();
             (rows, counts.map(OutcomesDoc::from).collect::<Vec<_>>())
         };
-        let (near, relays) = self.report_targets(now, has_failure);
+        let audience = if has_failure { Audience::Failure } else { Audience::Periodic };
+        let (near, relays) = self.report_targets(now, audience);
         let from = self.shared.start_id;
         while !rows.is_empty() || !outcomes.is_empty() {
             let rows = rows.split_off(rows.len().saturating_sub(MAX_ROWS));
@@ -425,7 +464,7 @@
         }
         let now = self.shared.now();
         self.last_relayed = now;
-        let (near, _) = self.report_targets(now, false);
+        let (near, _) = self.report_targets(now, Audience::Periodic);
         for batch in self.relay_queue.take_batches() {
             self.send(&Datagram::Relayed(batch), &near).await;
         }
@@ -459,9 +498,13 @@
         for addr in to {
             // A failed send is treated like a datagram that the network drops.
             if self.socket.send_to(&bytes, addr).await.is_ok() {
-                metrics::counter!("redwing_peer_bytes_total", "direction" => "out")
-                    .increment(bytes.len() as u64);
+                count_datagram("out", bytes.len());
             }
         }
     }
 }
+
+fn count_datagram(direction: &'static str, bytes: usize) {
+    metrics::counter!("redwing_peer_bytes_total", "direction" => direction).increment(bytes as u64);
+    metrics::counter!("redwing_peer_datagrams_total", "direction" => direction).increment(1);
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -9,6 +9,7 @@
 use redwingtrestle_core::{
     ids::{DataCentre, ServiceName},
     process::{
+        cpu_share::CpuShare,
         crash_records::CrashRecords,
         health_estimate::HealthOptions,
         node_retry_budget::{FleetRetryOptions, NodeRetryBudget},
@@ -176,10 +177,14 @@
             recovery_per_s: settings.recovery_per_s,
             ..HealthOptions::default()
         };
+        let peer_options = PeerTableOptions {
+            cpu_share: CpuShare::from_cores(settings.cpu_share),
+            ..PeerTableOptions::default()
+        };
         let (clock, start_id) = (Clock::start(), rand::random::<u64>());
         let fleet = Fleet {
             registry: ServerRegistry::new(RegistryOptions { health, ..RegistryOptions::default() }),
-            peers: PeerTable::new(PeerTableOptions::default(), settings.peer, data_centre.clone()),
+            peers: PeerTable::new(peer_options, settings.peer, data_centre.clone()),
             crash_records: CrashRecords::default(),
             retry_budgets: HashMap::new(),
             server_watch: StreamWatch::default(),
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -52,9 +52,15 @@
     describe_counter!("redwing_gateway_connects_total", "New connections to backend servers");
     describe_counter!("redwing_store_calls_total", "Calls to the store, by stream and result");
     describe_counter!("redwing_peer_bytes_total", "Bytes of messages between nodes, by direction");
+    describe_counter!("redwing_peer_datagrams_total", "Messages between nodes, by direction");
     describe_counter!("redwing_log_lines_dropped_total", "Log lines dropped at the limit");
     describe_gauge!("redwing_gateway_config_version", "Version of the configuration in force");
     describe_gauge!("redwing_store_era", "Number of times that the store was restored from a copy");
     describe_gauge!("redwing_gateway_peers", "Other nodes that are heard");
+    describe_gauge!(
+        "redwing_gateway_message_slowdown",
+        "Ratio of the intervals of messages to other nodes to the usual ones"
+    );
+    describe_gauge!("redwing_gateway_typical_cores", "Median processor of the known nodes");
     describe_gauge!("redwing_gateway_open_requests", "Requests that are not answered yet");
 }
