Decide on the quotas of workspaces

Nodes let each workspace send without a limit, as nothing read its quota. Each node now estimates the token bucket of the whole fleet and the demand at all nodes, and admits the same share of its own requests as all others do.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -124,6 +124,14 @@
     WorkspaceName
 }
 
+impl WorkspaceName {
+    /// Returns the 48-bit hash that identifies the workspace in messages between nodes. With 32 bits, two of the
+    /// workspaces of a large deployment would probably share a quota.
+    pub fn tag(&self) -> u64 {
+        xxh3_64(self.0.as_bytes()) >> 16
+    }
+}
+
 name! {
     /// The name of a data centre.
     DataCentre
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -40,3 +40,4 @@
 pub mod stream_watch;
 mod token_bucket;
 pub mod tracked_server;
+pub mod workspace_quota;
--- a/crates/core/src/process/peer_table.rs
+++ b/crates/core/src/process/peer_table.rs
@@ -267,6 +267,11 @@
         self.near_sample(now, self.options.near_fanout, rng)
     }
 
+    /// Returns the number of live nodes in the same data centre, without this one.
+    pub fn nearby_count(&self, now: Timestamp) -> usize {
+        self.live_peers(now).filter(|(_, s)| s.zone == self.zone).count()
+    }
+
     fn near_sample(&self, now: Timestamp, count: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let near = self.live_peers(now).filter(|(_, s)| s.zone == self.zone).map(|(addr, _)| addr);
         near.choose_multiple(rng, count)
--- /dev/null
+++ b/crates/core/src/process/workspace_quota/budget.rs
@@ -0,0 +1,233 @@
+//! What one node knows of the use of one workspace's quota, and its decisions on requests.
+
+use super::{recent_count::RecentCount, QuotaCounts, QuotaOptions};
+use crate::{
+    process::{
+        server_limit::NodeCounts,
+        token_bucket::{BucketRate, TokenBucket},
+    },
+    time::{Span, Timestamp},
+    version::routing_config::Quota,
+};
+
+/// The share of the allowed excess of the rate that is used on purpose. Requests below the nominal rate are then not
+/// refused because of late reports.
+const RATE_EXCESS_USED: f64 = 0.6;
+
+/// The share of the other allowed excess by which the pool is larger than the burst. The rest is left to requests
+/// that nodes admit before they hear of each other.
+const SLACK_USED: f64 = 0.3;
+
+/// The time over which a filled pool is spent, or a debt is paid. A time shorter than the age of reports would make the
+/// fleet swing between too many requests and none.
+const SETTLING_S: f64 = 0.7;
+
+/// The share of the rate that is admitted also during a large debt.
+const LEAST_SHARE: f64 = 0.2;
+
+/// The usual age of the requests at other nodes when this one hears of them.
+const REPORT_AGE_S: f64 = 0.35;
+
+/// The debt of a pool is bounded by the requests of this time, so that reports which arrive twice do not stop a
+/// workspace for long.
+const DEBT_SECONDS: f64 = 2.0;
+
+/// How long a request counts in the estimated demand.
+const DEMAND_MEMORY: Span = Span::from_millis(1_000);
+
+/// Other nodes are told at once what this node admits, when the demand times this exceeds what may be admitted.
+const REPORT_MARGIN: f64 = 5.0;
+
+/// The requests since the last report, and their multiple of the expected ones, that other nodes are told early.
+const MIN_SURGE: f64 = 2.0;
+const SURGE_FACTOR: f64 = 2.5;
+
+/// The part of the capacity with which a node starts that cannot know what the others have admitted.
+const START_SHARE: f64 = 0.25;
+
+/// The demand and the pool of all nodes, as far as this node has heard.
+#[derive(Clone, Debug)]
+pub(super) struct Budget {
+    pub(super) quota: Quota,
+    /// What the whole fleet may still admit.
+    pool: TokenBucket,
+    /// The requests of callers at all nodes, admitted or not.
+    demand: RecentCount,
+    /// Those at this node.
+    own_demand: RecentCount,
+    /// The part of a request that this node may admit, from the requests so far. It begins at random, as the nodes
+    /// would otherwise all admit their first one, or none of them.
+    credit: Option<f64>,
+    /// Own requests that the other nodes have not been told.
+    pub(super) own: QuotaCounts,
+    /// Requests of other data centres that the nodes of this one have not been told.
+    pub(super) relayed: QuotaCounts,
+    /// Whether another node has said how full its pool is.
+    is_told: bool,
+    pub(super) refusal_logged: Option<Timestamp>,
+}
+
+/// What bounds the decisions of a node beside its observations.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Terms {
+    pub(super) options: QuotaOptions,
+    pub(super) nodes: NodeCounts,
+    /// Whether the process has just started, and may not have heard of all nodes and their requests.
+    pub(super) is_new: bool,
+}
+
+impl Budget {
+    pub(super) fn new(now: Timestamp, quota: Quota, terms: &Terms) -> Self {
+        let mut budget = Budget {
+            quota,
+            pool: TokenBucket::new(now, 0.0),
+            demand: RecentCount::new(now, DEMAND_MEMORY),
+            own_demand: RecentCount::new(now, DEMAND_MEMORY),
+            credit: None,
+            own: QuotaCounts::default(),
+            relayed: QuotaCounts::default(),
+            is_told: false,
+            refusal_logged: None,
+        };
+        let share = if terms.is_new { START_SHARE } else { 1.0 };
+        budget.pool = TokenBucket::new(now, share * budget.rate(terms).most);
+        budget
+    }
+
+    /// Returns the rate of the pool. While nodes are silent that may be cut off from this one, those that are heard use
+    /// their part of the quota. A new process that was told a level need not have heard of all nodes itself.
+    fn rate(&self, terms: &Terms) -> BucketRate {
+        let Terms { options: QuotaOptions { over, slack }, nodes, is_new } = *terms;
+        let Quota { per_second, burst } = self.quota;
+        let is_whole = is_new && self.is_told;
+        let heard = f64::from(nodes.live.min(nodes.known)) / f64::from(nodes.known.max(1));
+        let heard = if is_whole { 1.0 } else { heard };
+        let is_closed = per_second <= 0.0 && burst <= 0.0;
+        let extra = if is_closed { 0.0 } else { SLACK_USED * (over * burst + slack) };
+        let per_second = (1.0 + RATE_EXCESS_USED * over) * per_second * heard;
+        BucketRate {
+            per_second,
+            most: (burst + extra) * heard,
+            debt: DEBT_SECONDS * per_second + slack,
+        }
+    }
+
+    /// Decides on a request of a caller. `draw`, from 0 to 1, is used for the first one.
+    pub(super) fn charge(&mut self, now: Timestamp, terms: &Terms, draw: f64) -> bool {
+        self.demand.add(now, 1.0);
+        self.own_demand.add(now, 1.0);
+        self.own.offered += 1;
+        let share = self.admitted_share(now, terms);
+        let credit = self.credit.unwrap_or(draw) + share;
+        let is_admitted = share > 0.0 && credit >= 1.0;
+        self.credit = Some(if is_admitted { credit - 1.0 } else { credit });
+        if is_admitted {
+            self.own.admitted += 1;
+            self.pool.take(now, self.rate(terms), 1.0);
+        }
+        is_admitted
+    }
+
+    /// Returns the share of the callers' requests that all nodes may admit now.
+    ///
+    /// Each node admits this share of its own requests, whichever part of the demand these are. So the sum follows from
+    /// the demand of all nodes, also while callers move from one node to another.
+    fn admitted_share(&self, now: Timestamp, terms: &Terms) -> f64 {
+        let demand = self.fleet_demand(now, terms);
+        (self.admissible(now, terms) / demand).clamp(0.0, 1.0)
+    }
+
+    /// Returns the requests per second that all nodes may admit now.
+    fn admissible(&self, now: Timestamp, terms: &Terms) -> f64 {
+        let rate = self.rate(terms);
+        let left = self.pool.tokens(now, rate) - self.unheard(now, rate.per_second);
+        (rate.per_second + left / SETTLING_S).max(LEAST_SHARE * rate.per_second)
+    }
+
+    /// Returns how many requests the other nodes have probably admitted that this one has not heard of.
+    fn unheard(&self, now: Timestamp, per_second: f64) -> f64 {
+        let (all, own) = (self.demand.per_second(now), self.own_demand.per_second(now));
+        let others = (all - own).max(0.0);
+        REPORT_AGE_S * others * (per_second / all.max(per_second))
+    }
+
+    /// A new process has not heard of the requests at other nodes, so it assumes the same at each.
+    fn fleet_demand(&self, now: Timestamp, terms: &Terms) -> f64 {
+        let known = self.demand.per_second(now);
+        if terms.is_new && !self.is_told {
+            return known.max(self.own_demand.per_second(now) * f64::from(terms.nodes.known));
+        }
+        known
+    }
+
+    /// Takes back the charge of a request that reached no server.
+    pub(super) fn refund(&mut self, now: Timestamp, terms: &Terms) {
+        self.own.admitted -= 1;
+        self.pool.take(now, self.rate(terms), -1.0);
+    }
+
+    /// Counts requests at another node.
+    pub(super) fn record_peer(
+        &mut self,
+        now: Timestamp,
+        terms: &Terms,
+        admitted: f64,
+        offered: f64,
+    ) {
+        self.demand.add(now, offered);
+        self.pool.take(now, self.rate(terms), admitted);
+    }
+
+    /// Returns how long a caller that was refused should wait: until this node probably admits its next request.
+    pub(super) fn wait(&self, now: Timestamp, terms: &Terms) -> Span {
+        let admits = self.admitted_share(now, terms) * self.own_demand.per_second(now);
+        let missing = 1.0 - self.credit.unwrap_or_default();
+        let rate = self.rate(terms);
+        let debt = self.pool.seconds_until(now, rate, 0.0);
+        Span::from_secs_f64((missing / admits).max(debt))
+    }
+
+    /// Returns whether the quota may be used up before the other nodes hear of this node's requests with the next report
+    /// that is not urgent. A single request says nothing about the demand at the others.
+    pub(super) fn is_near_limit(&self, now: Timestamp, terms: &Terms) -> bool {
+        let further = (self.own_demand.count(now) - 1.0).max(0.0) * f64::from(terms.nodes.live);
+        let demand = self.demand.per_second(now).max(further / DEMAND_MEMORY.as_secs_f64());
+        REPORT_MARGIN * demand > self.admissible(now, terms)
+    }
+
+    /// Returns whether this node got many more requests than it did before its last report, `since` ago. The others then
+    /// hear of them earlier than usual, as their callers may do the same.
+    pub(super) fn has_surge(&self, now: Timestamp, since: Span) -> bool {
+        let unreported = self.own.offered as f64;
+        let before = (self.own_demand.count(now) - unreported).max(0.0);
+        let expected = before / DEMAND_MEMORY.as_secs_f64() * since.as_secs_f64();
+        unreported >= MIN_SURGE && unreported >= SURGE_FACTOR * expected
+    }
+
+    /// Returns the tokens of the pool and the demand per second.
+    pub(super) fn level(&self, now: Timestamp, terms: &Terms) -> (f64, f64) {
+        let rate = self.rate(terms);
+        (self.pool.tokens(now, rate), self.demand.per_second(now))
+    }
+
+    /// Takes over what another node says of its pool and the demand. Of several nodes, the one with the least counts.
+    pub(super) fn adopt_level(&mut self, now: Timestamp, terms: &Terms, tokens: f64, demand: f64) {
+        let was_told = std::mem::replace(&mut self.is_told, true);
+        let rate = self.rate(terms);
+        let least = if was_told { self.pool.tokens(now, rate) } else { rate.most };
+        self.pool = TokenBucket::new(now, tokens.min(least).max(-rate.debt));
+        self.demand.raise_to(now, demand);
+    }
+
+    /// Adds what has accrued, before the terms change.
+    pub(super) fn settle(&mut self, now: Timestamp, terms: &Terms) {
+        self.pool.settle(now, self.rate(terms));
+    }
+
+    /// Returns whether the budget is as good as new, so that it need not be kept.
+    pub(super) fn is_idle(&self, now: Timestamp, terms: &Terms) -> bool {
+        let rate = self.rate(terms);
+        let is_reported = self.own.offered == 0 && self.relayed.offered == 0;
+        is_reported && self.demand.count(now) < 0.01 && self.pool.tokens(now, rate) >= rate.most
+    }
+}
