Refuse requests beyond a workspace's quota

Callers of a workspace with a quota were served without a limit. A request is now charged once, after its key is checked and before its body is read, and refused with 429 and a Retry-After that follows from the quota. The charge is taken back unless a send may have reached a server. Nodes report admitted and offered requests to each other, and tell a new node the levels; nodes of the version before drop both messages.

--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -9,6 +9,7 @@
         service_outcomes::OutcomeCounts,
         store_contact::ContactReport,
         tracked_server::{Counts, ServerReport},
+        workspace_quota::{QuotaLevel, QuotaReport},
     },
     time::Span,
 };
@@ -27,6 +28,9 @@
 /// The largest number of limits, or of crashes, that fits a datagram.
 pub(crate) const MAX_SERVER_ROWS: usize = 36;
 
+/// The largest number of workspaces in a report on quotas, or of levels, that fits a datagram.
+pub(crate) const MAX_QUOTA_ROWS: usize = 60;
+
 /// The largest encoded sizes of a report's head, of one of its rows and of the outcome counts of a service, in bytes.
 pub(crate) const MAX_REPORT_HEAD: usize = 16;
 const MAX_ROW_SIZE: usize = 13;
@@ -65,6 +69,12 @@
     Limits { relay: bool, rows: Vec<LimitDoc> },
     /// Servers that ended while they ran a request, as in [`Limits`](Datagram::Limits).
     Crashes { relay: bool, rows: Vec<CrashDoc> },
+    /// Requests of workspaces since the sender's last report, which has the number before. If `relay` is set, the receiver
+    /// adds them to its next report in its own data centre. The report stands for `scale` reports. Nodes of the version
+    /// before drop it.
+    Quotas { relay: bool, number: u32, scale: f32, rows: Vec<QuotaDoc> },
+    /// What is left of quotas, for a node that has just started.
+    QuotaLevels(Vec<LevelDoc>),
 }
 
 /// What follows a status in its datagram. Nodes of version 0.1 ignore it, and do not send it. Each part may end the
@@ -231,6 +241,46 @@
     }
 }
 
+/// The encoding of a [`QuotaReport`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct QuotaDoc {
+    tag: u64,
+    admitted: u32,
+    offered: u32,
+}
+
+impl From<QuotaReport> for QuotaDoc {
+    fn from(QuotaReport { tag, admitted, offered }: QuotaReport) -> Self {
+        QuotaDoc { tag, admitted, offered }
+    }
+}
+
+impl From<QuotaDoc> for QuotaReport {
+    fn from(QuotaDoc { tag, admitted, offered }: QuotaDoc) -> Self {
+        QuotaReport { tag, admitted, offered }
+    }
+}
+
+/// The encoding of a [`QuotaLevel`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct LevelDoc {
+    tag: u64,
+    tokens: f32,
+    demand: f32,
+}
+
+impl From<QuotaLevel> for LevelDoc {
+    fn from(QuotaLevel { tag, tokens, demand }: QuotaLevel) -> Self {
+        LevelDoc { tag, tokens: tokens as f32, demand: demand as f32 }
+    }
+}
+
+impl From<LevelDoc> for QuotaLevel {
+    fn from(LevelDoc { tag, tokens, demand }: LevelDoc) -> Self {
+        QuotaLevel { tag, tokens: tokens.into(), demand: demand.into() }
+    }
+}
+
 fn age_ms(age: Span) -> u32 {
     age.as_millis().min(u64::from(u32::MAX)) as u32
 }
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -4,6 +4,7 @@
     authentication::Credentials,
     clock::duration,
     outgoing::{OutgoingRequest, RequestBody},
+    quota_charge::QuotaCharge,
     server_send::{self, NotRunReason, ResponseBody, SendResult, ServerResponse},
     shared::{Fleet, Shared},
 };
@@ -89,6 +90,8 @@
     pub rank: u8,
     /// The caller's key and workspace, if the route requires a key.
     pub credentials: Option<Credentials>,
+    /// The charge to the workspace's quota, if it has one.
+    pub charge: Option<QuotaCharge>,
     /// When the request arrived.
     pub started_at: Timestamp,
     /// The deadline: the end of the caller's or the route's time limit, whichever is earlier.
@@ -161,6 +164,7 @@
                         state.tried.push(choice.id.clone());
                         state.sends += 1;
                         state.arrivals += 1;
+                        self.update_charge(state);
                         state.last_choice = Some(choice.clone());
                         running.push(self.send(choice, next, is_repeat).boxed());
                     }
@@ -270,6 +274,7 @@
                         | NotRunReason::CallerLeft
                 ) {
                     state.arrivals -= 1;
+                    self.update_charge(state);
                 }
                 // Of the sends that did not run, only a refusal by the server counts towards the route's limit.
                 if why != NotRunReason::Shed {
@@ -285,6 +290,12 @@
         None
     }
 
+    fn update_charge(&self, state: &SendState) {
+        if let Some(charge) = &self.charge {
+            charge.set_arrived(state.arrivals > 0);
+        }
+    }
+
     /// Returns whether another send is safe, within the route's limit, in time and for a caller that still waits.
     fn may_send_again(&self, state: &SendState) -> bool {
         let is_safe = !(state.may_have_run && self.outgoing.at_most_once);
--- a/crates/gateway/src/gossip/mod.rs
+++ b/crates/gateway/src/gossip/mod.rs
@@ -7,8 +7,8 @@
 use crate::{
     clock::duration,
     datagram::{
-        self, CrashDoc, Datagram, LimitDoc, OutcomesDoc, ReportDoc, RowDoc, StatusTail,
-        MAX_DATAGRAM, MAX_OUTCOMES, MAX_ROWS, MAX_SERVER_ROWS,
+        self, CrashDoc, Datagram, LevelDoc, LimitDoc, OutcomesDoc, QuotaDoc, ReportDoc, RowDoc,
+        StatusTail, MAX_DATAGRAM, MAX_OUTCOMES, MAX_QUOTA_ROWS, MAX_ROWS, MAX_SERVER_ROWS,
     },
     shared::{Fleet, Shared},
 };
@@ -16,9 +16,14 @@
 use redwingtrestle_core::{
     ids::DataCentre,
     process::{
-        crash_records::CrashReport, peer_table::NodeStatus, server_limit::LimitReport,
-        service_outcomes::OutcomeCounts, store_contact::ContactReport,
-        stream_position::StreamPosition, tracked_server::ServerReport,
+        crash_records::CrashReport,
+        peer_table::NodeStatus,
+        server_limit::LimitReport,
+        service_outcomes::OutcomeCounts,
+        store_contact::ContactReport,
+        stream_position::StreamPosition,
+        tracked_server::ServerReport,
+        workspace_quota::{QuotaLevel, QuotaReport},
     },
     time::{Span, Timestamp},
 };
@@ -37,6 +42,9 @@
 /// After a suspension of the machine for longer than this, all state is read again.
 const MAX_SUSPENSION: Span = Span::from_millis(500);
 
+/// The nodes that tell a new one the levels of quotas, on average. Several, as messages may be lost.
+const LEVEL_TELLERS: f64 = 4.0;
+
 /// The task that sends and receives the datagrams.
 #[derive(Debug)]
 pub struct Gossip {
@@ -165,6 +173,21 @@
                     self.send(&Datagram::Crashes { relay: false, rows }, &near).await;
                 }
             }
+            Datagram::Quotas { relay, number, scale, rows } => {
+                let mut quotas = self.shared.quotas();
+                if !relay {
+                    quotas.record_number(now, from, number, scale.into());
+                }
+                for report in rows.into_iter().map(QuotaReport::from) {
+                    quotas.record_report(now, &report, scale.into(), relay);
+                }
+            }
+            Datagram::QuotaLevels(rows) => {
+                let mut quotas = self.shared.quotas();
+                for level in rows.into_iter().map(QuotaLevel::from) {
+                    quotas.adopt_level(now, &level);
+                }
+            }
         }
     }
 
@@ -270,6 +293,48 @@
         self.send_rows(&rows, &[to], |rows| Datagram::Limits { relay: false, rows }).await;
         let rows: Vec<CrashDoc> = crash_reports.into_iter().map(CrashDoc::from).collect();
         self.send_rows(&rows, &[to], |rows| Datagram::Crashes { relay: false, rows }).await;
+        self.send_levels(now, to).await;
+    }
+
+    /// Tells a new node what is left of the quotas near their limits. A few of the nodes do that.
+    async fn send_levels(&self, now: Timestamp, to: SocketAddr) {
+        let is_teller = {
+            let mut fleet = self.shared.fleet();
+            let nodes = fleet.peers.live_count(now) as f64;
+            fleet.rng.random::<f64>() * nodes < LEVEL_TELLERS
+        };
+        if !is_teller {
+            return;
+        }
+        let levels = self.shared.quotas().levels(now);
+        let rows: Vec<LevelDoc> = levels.into_iter().map(LevelDoc::from).collect();
+        for rows in rows.chunks(MAX_QUOTA_ROWS) {
+            self.send(&Datagram::QuotaLevels(rows.to_vec()), &[to]).await;
+        }
+    }
+
+    /// Tells other nodes the requests of workspaces since the last report.
+    ///
+    /// A node of a large data centre tells only a part of its nodes each time, so the report stands for those that the others
+    /// miss.
+    async fn send_quotas(&self, now: Timestamp) {
+        let due = self.shared.quotas().take_reports(now);
+        if due.near.is_empty() {
+            return;
+        }
+        let number = due.number;
+        let (near, relays) = self.report_targets(now, false);
+        let all = self.shared.fleet().peers.nearby_count(now);
+        let scale = (all as f32 / near.len().max(1) as f32).max(1.0);
+        for (rows, relay, scale, to) in
+            [(due.near, false, scale, near), (due.far, true, 1.0, relays)]
+        {
+            let rows: Vec<QuotaDoc> = rows.into_iter().map(QuotaDoc::from).collect();
+            for rows in rows.chunks(MAX_QUOTA_ROWS) {
+                self.send(&Datagram::Quotas { relay, number, scale, rows: rows.to_vec() }, &to)
+                    .await;
+            }
+        }
     }
 
     /// Returns this node's status, with what follows it in its datagram.
@@ -346,14 +411,21 @@
     async fn tick(&mut self) {
         let now = self.shared.now();
         self.check_suspension();
-        let (due, live_nodes) = {
+        let (due, live_nodes, counts) = {
             let mut fleet = self.shared.fleet();
             let Fleet { peers, rng, registry, crash_records, .. } = &mut *fleet;
             registry.tick(now);
             crash_records.tick(now);
-            registry.set_nodes(now, peers.node_counts(now));
-            (peers.take_due(now, rng), peers.live_count(now))
+            let counts = peers.node_counts(now);
+            registry.set_nodes(now, counts);
+            (peers.take_due(now, rng), peers.live_count(now), counts)
         };
+        {
+            let mut quotas = self.shared.quotas();
+            quotas.set_nodes(now, counts);
+            quotas.tick(now);
+            metrics::gauge!("redwing_quota_workspaces").set(quotas.active_count() as f64);
+        }
         if live_nodes != self.live_nodes {
             log::info!(target: "peers", nodes = live_nodes, before = self.live_nodes;
                 "the number of live nodes changed");
@@ -368,6 +440,7 @@
         }
         self.send_limits().await;
         self.send_crashes().await;
+        self.send_quotas(now).await;
         if now.since(self.last_relayed) >= REPORT_INTERVAL {
             self.send_relayed().await;
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod peer_rpc;
 pub mod pool;
 pub mod prefixed_body;
+pub mod quota_charge;
 pub mod reply;
 pub mod request;
 pub mod response_memory;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,12 +1,13 @@
 //! Handling of one caller's request: finds its route, service and deadline, forwards it, and builds the reply.
 
 use crate::{
-    authentication::{authenticate, replace_key},
+    authentication::{authenticate, replace_key, Credentials},
     caller::{CallerGuard, CallerWatch},
     clock::duration,
     connection_state::BusyGuard,
     forwarding::{RequestResult, RoutedRequest},
     outgoing::{self, OutgoingRequest, RequestBody},
+    quota_charge::QuotaCharge,
     reply::{self, ReplyBody},
     server_send::{ResponseBody, ServerResponse},
     shared::{Phase, Shared},
@@ -51,13 +52,16 @@
     let (_caller_guard, caller) = CallerGuard::new();
     let is_head = request.method() == Method::HEAD;
     let mut target = None;
+    let mut quota_wait = None;
     let result = match prepare(&shared, request, started_at, &attempt, caller).await {
         Ok((routed, body)) => {
             target = Some((routed.outgoing.service.clone(), routed.outgoing.fingerprint));
             forward_or_detach(&shared, routed, body).await
         }
-        Err(code) => {
-            log::info!(target: "requests", attempt = &*attempt, code = code.number(),
+        Err(refusal) => {
+            let code = refusal.code;
+            quota_wait = refusal.quota_wait;
+            log::info!(target: "requests", attempt = &*attempt, code = code.number(), workspace = refusal.workspace.as_deref(),
                 version = shared.routing_config.load().as_ref().map_or(0, |c| c.version());
                 "request refused before it was sent to a server: {code}");
             RequestResult::Failure(code)
@@ -75,7 +79,7 @@
             let may_return = matches!(code.status(), 429 | 503);
             let wait = (code.outcome() == Outcome::NotRun && may_return).then(|| match target {
                 Some((service, fingerprint)) => retry_after(&shared, &service, fingerprint),
-                None => RETRY_AFTER,
+                None => quota_wait.unwrap_or(RETRY_AFTER),
             });
             reply::refusal(code, wait)
         }
@@ -100,6 +104,39 @@
     left.map_or(RETRY_AFTER, |left| server_pause::retry_after(left, fleet.rng.random()))
 }
 
+/// A request that is refused before it has a service.
+#[derive(Debug)]
+struct Refusal {
+    code: ResultCode,
+    /// The workspace whose quota is used up, and what the caller is told to wait.
+    workspace: Option<Arc<str>>,
+    quota_wait: Option<Span>,
+}
+
+impl From<ResultCode> for Refusal {
+    fn from(code: ResultCode) -> Self {
+        Refusal { code, workspace: None, quota_wait: None }
+    }
+}
+
+/// Charges the request to the quota of its workspace.
+fn charge(
+    shared: &Arc<Shared>,
+    credentials: Option<&Credentials>,
+) -> Result<Option<QuotaCharge>, Refusal> {
+    let Some(workspace) = credentials.map(|c| &c.workspace).filter(|w| w.quota.is_some()) else {
+        return Ok(None);
+    };
+    shared.charge_quota(&workspace.name).map_err(|wait| {
+        let draw = shared.fleet().rng.random();
+        Refusal {
+            code: ResultCode::QuotaExceeded,
+            workspace: Some(workspace.name.0.clone()),
+            quota_wait: Some(server_pause::retry_after(wait, draw)),
+        }
+    })
+}
+
 /// Determines the route, service and deadline of a request, and reads its body.
 async fn prepare(
     shared: &Arc<Shared>,
@@ -107,16 +144,17 @@
     started_at: Timestamp,
     attempt: &Arc<str>,
     caller: CallerWatch,
-) -> Result<(RoutedRequest, RequestBody), ResultCode> {
+) -> Result<(RoutedRequest, RequestBody), Refusal> {
     let routing_config = wait_for_configuration(shared).await.ok_or(ResultCode::NotReady)?;
     let (mut head, body) = request.into_parts();
     let host =
         head.uri.host().or_else(|| head.headers.get(HOST)?.to_str().ok()).unwrap_or_default();
     let Some(route) = routing_config.find(host, head.uri.path()) else {
         let is_outdated = shared.has_outdated_config(started_at);
-        return Err(if is_outdated { ResultCode::NotReady } else { ResultCode::NoRoute });
+        return Err(if is_outdated { ResultCode::NotReady } else { ResultCode::NoRoute }.into());
     };
     let credentials = authenticate(shared, started_at, &routing_config, &route, &head.headers)?;
+    let charge = charge(shared, credentials.as_ref())?;
     let draw = shared.fleet().rng.random();
     let service = route.service(draw).cloned().ok_or(ResultCode::NoServer)?;
     let requested_ms =
@@ -126,7 +164,7 @@
     let limit = routing_config.limits().body;
     let body = outgoing::read(body, limit, duration(time_limit)).await?;
     if shared.planned_stop().is_some_and(|stop| !stop.accepts_request(shared.now())) {
-        return Err(ResultCode::NodeLeaving);
+        return Err(ResultCode::NodeLeaving.into());
     }
     let fingerprint = outgoing::fingerprint(host, &head, &body);
     reply::strip_hop_by_hop_headers(&mut head.headers);
@@ -154,6 +192,7 @@
         config_version: routing_config.version(),
         rank,
         credentials,
+        charge,
         outgoing,
         started_at,
         deadline: started_at + time_limit,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,13 +1,13 @@
 //! The state that the threads of a gateway process share.
 
 use crate::{
-    clock::Clock, header_names::HeaderNames, pool::ConnectionPool, response_memory::ResponseMemory,
-    settings::Settings, store::Stream,
+    clock::Clock, header_names::HeaderNames, pool::ConnectionPool, quota_charge::QuotaCharge,
+    response_memory::ResponseMemory, settings::Settings, store::Stream,
 };
 use arc_swap::ArcSwapOption;
-use rand::{rngs::StdRng, SeedableRng};
+use rand::{rngs::StdRng, Rng, SeedableRng};
 use redwingtrestle_core::{
-    ids::{DataCentre, ServiceName},
+    ids::{DataCentre, ServiceName, WorkspaceName},
     process::{
         crash_records::CrashRecords,
         health_estimate::HealthOptions,
@@ -21,6 +21,7 @@
         store_contact::StoreContacts,
         stream_position::{EraChange, StoreEra, StreamPosition},
         stream_watch::{StreamWatch, WatchRole},
+        workspace_quota::{QuotaDecision, QuotaOptions, WorkspaceQuotas},
     },
     time::{Span, Timestamp},
     version::routing_config::{CallerLimits, RoutingConfig, RoutingConfigDoc},
@@ -158,6 +159,8 @@
     open_requests: AtomicUsize,
     open_connections: AtomicUsize,
     fleet: Mutex<Fleet>,
+    /// The quotas of workspaces. It has a lock of its own, since a report of a peer may have many rows.
+    quotas: Mutex<WorkspaceQuotas>,
 }
 
 impl Shared {
@@ -177,6 +180,7 @@
             ..HealthOptions::default()
         };
         let (clock, start_id) = (Clock::start(), rand::random::<u64>());
+        let quota_options = QuotaOptions { over: settings.quota_over, slack: settings.quota_slack };
         let fleet = Fleet {
             registry: ServerRegistry::new(RegistryOptions { health, ..RegistryOptions::default() }),
             peers: PeerTable::new(PeerTableOptions::default(), settings.peer, data_centre.clone()),
@@ -210,6 +214,7 @@
             open_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             fleet: Mutex::new(fleet),
+            quotas: Mutex::new(WorkspaceQuotas::new(clock.now(), quota_options)),
             settings,
         }
     }
@@ -224,6 +229,11 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the quotas of workspaces.
+    pub fn quotas(&self) -> MutexGuard<'_, WorkspaceQuotas> {
+        self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether the configuration may be out of date, so that an unknown route or key may exist by now: the store
     /// cannot be reached and no other node is heard.
     pub fn has_outdated_config(&self, now: Timestamp) -> bool {
@@ -280,7 +290,9 @@
         if doc.version <= known {
             return false;
         }
+        let quotas = WorkspaceQuotas::quotas_of(doc);
         self.routing_config.store(Some(Arc::new(RoutingConfig::new(doc.clone()))));
+        self.quotas().set_quotas(self.now(), quotas);
         let head = doc.limits.head;
         self.head_limit.send_if_modified(|limit| std::mem::replace(limit, head) != head);
         metrics::gauge!("redwing_gateway_config_version").set(doc.version as f64);
@@ -367,6 +379,39 @@
         self.changed.notify_waiters();
     }
 
+    /// Charges a request to the quota of its workspace.
+    ///
+    /// # Errors
+    ///
+    /// Returns how long the caller should wait, if the quota is used up.
+    pub fn charge_quota(
+        self: &Arc<Self>,
+        workspace: &WorkspaceName,
+    ) -> Result<Option<QuotaCharge>, Span> {
+        let tag = workspace.tag();
+        let draw = self.fleet().rng.random();
+        let decision = self.quotas().charge(self.now(), tag, draw);
+        let result: &'static str = decision.into();
+        metrics::counter!("redwing_quota_requests_total", "result" => result).increment(1);
+        match decision {
+            QuotaDecision::Unlimited => Ok(None),
+            QuotaDecision::Admitted => Ok(Some(QuotaCharge::new(self.clone(), tag))),
+            QuotaDecision::Refused { wait, is_first } => {
+                if is_first {
+                    self.log_quota(workspace, tag, wait);
+                }
+                Err(wait)
+            }
+        }
+    }
+
+    fn log_quota(&self, workspace: &WorkspaceName, tag: u64, wait: Span) {
+        let level = self.quotas().level(self.now(), tag);
+        log::warn!(target: "quotas", workspace = workspace.as_str(), tokens = level.map(|l| l.tokens),
+            demand = level.map(|l| l.demand), wait_ms = wait.as_millis();
+            "requests of a workspace exceed its quota and are refused");
+    }
+
     /// Counts a request of a service for its retry budget.
     pub fn count_request(&self, service: &ServiceName) {
         let now = self.now();
