Take a status outside 200 to 599 for a lost response

Callers got the statuses 600, 799 and 999 passed on, from both entries. At the gateway such a response with the "not run" header, and a 101 with it, was believed: the order ran twice and its caller was told 503. The product's own entry reported `ran`, and both used the connection again. The gateway also took the server out of use, or did not count the response against it.

The HTTP library takes any number from 100 to 999 for a status, and only statuses below 200 were checked, at the gateway after the refusal headers.

The status is now checked before anything else of the response is believed. Any other than 200 to 599 is a lost response: `unknown` or a retry where the request may run again, bad evidence about the server, and the connection is closed. The client of the product's own entry cannot close one connection, so the server gets new connections for 300 s as after a response with another id, and its idle ones end after 4 s.

The statuses 000, 099, two or four digits, a sign or a letter, 100 alone, and 1xx without end were already lost responses.

--- a/crates/core/src/process/response_proof.rs
+++ b/crates/core/src/process/response_proof.rs
@@ -88,6 +88,11 @@
         Verdict { is_own, is_new_distrust: echo != Echo::Own && !was_distrusted }
     }
 
+    /// Records a malformed response. Neither it nor anything that follows on its connection proves anything.
+    pub fn distrust(&mut self, now: Timestamp, server: ServerAddr) {
+        self.servers.insert(server, Trust::DistrustedSince(now));
+    }
+
     /// Forgets the servers that `is_listed` does not return `true` for.
     pub fn retain(&mut self, is_listed: impl Fn(ServerAddr) -> bool) {
         self.servers.retain(|server, _| is_listed(*server));
--- a/crates/core/tests/response_proof.rs
+++ b/crates/core/tests/response_proof.rs
@@ -57,6 +57,16 @@
     last_missing_id_counts: &[(0, Echo::Missing), (1_000, Echo::Missing), (300_000, Echo::Own)] => Connection::New,
 }
 
+/// Guards against more requests on a connection on which a malformed response arrived.
+#[test]
+fn server_with_a_malformed_response_gets_new_connections() {
+    let mut proof = ResponseProof::default();
+    proof.judge(NOW, server(1), Connection::New, Echo::Own);
+    proof.distrust(NOW, server(1));
+    proof.judge(NOW + Span::from_millis(1), server(1), Connection::New, Echo::Own);
+    assert_eq!(proof.connection(server(1)), Connection::New);
+}
+
 /// Guards against a log line for each response of a server that echoes nothing, and against servers that are never
 /// forgotten.
 #[test]
--- a/crates/gateway/src/server_send.rs
+++ b/crates/gateway/src/server_send.rs
@@ -24,7 +24,7 @@
     process::{health_estimate::Observation, picker::Choice},
     time::{Span, Timestamp},
 };
-use std::{future::Future, sync::Arc, time::Duration};
+use std::{future::Future, ops::RangeInclusive, sync::Arc, time::Duration};
 use strum::{Display, IntoStaticStr};
 
 /// Responses of up to this many bytes are buffered before any byte goes to the caller. If a server breaks off such a
@@ -40,6 +40,9 @@
 /// The quantile of a service's response times that is taken as the usual time.
 const USUAL_QUANTILE: f64 = 0.9;
 
+/// The statuses of final responses (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// The reason why a request certainly did not run at the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -275,6 +278,14 @@
         }
     };
     let (head, body) = response.into_parts();
+    if !is_final(head.status) {
+        // Nothing else in such a response is believed, and dropping its connection closes it.
+        in_flight.observe(Observation::Lost);
+        return SendResult::Lost(format!(
+            "status {} is not that of a final response",
+            head.status.as_u16()
+        ));
+    }
     let header_names = &shared.header_names;
     server_notice::record(&head, header_names, &in_flight);
     let id = head.headers.get(&header_names.attempt);
@@ -289,9 +300,7 @@
         return handle_refusal(in_flight, is_misdirected, body, kept);
     }
     let is_signed = head.headers.contains_key(&header_names.signature);
-    // Nobody asks for another protocol, so 101 is no response.
-    let is_final = !head.status.is_informational();
-    if !is_own || !is_final || (head.status.is_success() && !is_signed) {
+    if !is_own || (head.status.is_success() && !is_signed) {
         in_flight.observe(Observation::Lost);
         shared.pool.record_failed_reuse(shared.now());
         return SendResult::Lost(format!(
@@ -345,6 +354,12 @@
     classify(head.status, ServerResponse { status: head.status, headers: head.headers, body })
 }
 
+/// Returns whether a status can be that of a final response. The HTTP library takes any number from 100 to 999, passes on a
+/// change of the protocol (101), for which nobody asks, and skips the other informational responses.
+pub fn is_final(status: StatusCode) -> bool {
+    FINAL_STATUSES.contains(&status.as_u16())
+}
+
 /// Classifies a response by its status. A refusal without the "not run" header counts as an error, as the request may
 /// have run.
 fn classify(status: StatusCode, response: ServerResponse) -> SendResult {
--- a/crates/gateway/tests/faulty_responses.rs
+++ b/crates/gateway/tests/faulty_responses.rs
@@ -313,6 +313,117 @@
     assert_eq!(reply.status, 502, "{}", reply.head);
 }
 
+/// The status lines of responses whose status is none of a final response, or that cannot be read.
+const INVALID_STATUSES: [&str; 13] = [
+    "HTTP/1.1 000 X",
+    "HTTP/1.1 099 X",
+    "HTTP/1.1 101 X",
+    "HTTP/1.1 199 X\r\n\r\nHTTP/1.1 600 X",
+    "HTTP/1.1 600 X",
+    "HTTP/1.1 799 X",
+    "HTTP/1.1 999 X",
+    "HTTP/1.1 20 X",
+    "HTTP/1.1 2000 X",
+    "HTTP/1.1 +20 X",
+    "HTTP/1.1 -20 X",
+    "HTTP/1.1 2 0 X",
+    "HTTP/1.1 20x X",
+];
+
+/// The further header lines of a response with an invalid status: none, a promise, the end of the server's work, and a
+/// pause.
+const FURTHER_LINES: [&str; 4] =
+    ["", "redwing-shed: 1\r\n", "redwing-leaving: 1\r\n", "retry-after: 9\r\n"];
+
+/// Returns the bytes of a response that has the id and the signature of a success.
+fn with_status_line(line: &str, further: &str, id: &str) -> String {
+    format!("{line}\r\nredwing-request-id: {id}\r\nredwing-signature: s\r\n{further}content-length: 2\r\n\r\nok")
+}
+
+fn is_suspect(gateway: &TestGateway, server: &ScriptedServer) -> bool {
+    let suspects = gateway.shared.fleet().registry.suspects(gateway.shared.now());
+    suspects.iter().any(|(id, _)| *id == server.id)
+}
+
+/// Guards against a caller that gets a status that is none of HTTP's, against a promise for an order that ran, against a
+/// server that counts as sound or as leaving by such a response, and against another request on its connection.
+#[tokio::test]
+async fn invalid_status_is_no_response() {
+    let mut failed = Vec::new();
+    for line in INVALID_STATUSES {
+        for further in FURTHER_LINES {
+            let server = ScriptedServer::start("i-1", move |turn| match turn.earlier.len() {
+                0 if turn.id == "first" => vec![Step::text(success(&turn.id, "ok"))],
+                _ => vec![Step::Run, Step::text(with_status_line(line, further, &turn.id))],
+            })
+            .await;
+            let gateway = start(&server, &[]).await;
+            assert_eq!(gateway.call(&post("first")).await.status, 200);
+            let reply = gateway.call(&post("r1")).await;
+            let now = gateway.shared.now();
+            let usable = gateway.shared.fleet().registry.usable(now, &"orders".into()).len();
+            let is_bad = is_suspect(&gateway, &server);
+            let reused = server.reused();
+            gateway.call(&post("r2")).await;
+            let seen = (reply.status, server.runs("r1"), is_bad, usable, reused, server.reused());
+            if seen != (502, 1, true, 1, 1, 1) {
+                failed.push((line, further, seen));
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{} cases: {failed:#?}", failed.len());
+}
+
+/// Guards against a repeatable request that ends with an invalid status although another server would serve it.
+#[tokio::test]
+async fn repeatable_request_with_invalid_status_is_served_elsewhere() {
+    for line in INVALID_STATUSES {
+        let server = ScriptedServer::start("i-1", move |turn| {
+            vec![Step::text(with_status_line(line, "", &turn.id))]
+        })
+        .await;
+        let sound = Backend::start("i-2", Behaviour::Serve).await;
+        let gateway = start(&server, &[&sound]).await;
+        for i in 0..REQUESTS {
+            let reply = gateway.call(&get("/free/1", &format!("r{i}"))).await;
+            assert_eq!((reply.status, reply.body.as_slice()), (200, b"ok".as_slice()), "{line}");
+        }
+    }
+}
+
+/// Guards against an informational response that counts as the response when no other follows, and against a promise
+/// because of its headers.
+#[tokio::test]
+async fn informational_response_alone_is_no_response() {
+    let interim = "HTTP/1.1 100 Continue\r\nredwing-shed: 1\r\n\r\n";
+    for (end, expected) in [(Step::Close, 502), (Step::Reset, 502), (Step::Pause(1_000), 504)] {
+        let last = end.clone();
+        let server = ScriptedServer::start("i-1", move |_| {
+            vec![Step::Run, Step::text(interim), Step::Pause(5), last.clone()]
+        })
+        .await;
+        let gateway = start(&server, &[]).await;
+        let reply = gateway.call(&post("r1").replace("/once/", "/short/")).await;
+        assert_eq!((reply.status, server.runs("r1")), (expected, 1), "{end:?}");
+    }
+}
+
+/// Guards against a connection that is used again after an informational response behind the response.
+#[tokio::test]
+async fn informational_response_after_the_last_closes_the_connection() {
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    let server = ScriptedServer::start("i-1", move |turn| {
+        vec![Step::Run, Step::text(success(&turn.id, "ok") + interim)]
+    })
+    .await;
+    let gateway = start(&server, &[]).await;
+    for i in 0..5 {
+        assert_eq!(gateway.call(&post(&format!("r{i}"))).await.status, 200);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(server.reused(), 0);
+}
+
 /// The framings of a response with the body `ok`, as head and body.
 fn framed(id: &str) -> [(String, &'static str); 3] {
     let head = format!("HTTP/1.1 200 OK\r\nredwing-request-id: {id}\r\nredwing-signature: s\r\n");
--- a/crates/node/src/carriers.rs
+++ b/crates/node/src/carriers.rs
@@ -72,6 +72,7 @@
         .header(HeaderName::from_static(caller::FORWARDED), HeaderValue::from_static(reason));
     let exchange = async {
         let response = dispatch::send_once(request, call).await?;
+        dispatch::check_status(&response)?;
         let received = dispatch::receive(response, call).await?;
         if !received.is_of_node(&call.id) {
             // The node may be gone and another program may listen at its address.
--- a/crates/node/src/dispatch/exchange.rs
+++ b/crates/node/src/dispatch/exchange.rs
@@ -11,7 +11,7 @@
     process::response_proof::{Connection, Echo},
     request::{deadline::Deadline, retry::Failure},
 };
-use redwingtrestle_gateway::reply::strip_hop_by_hop_headers;
+use redwingtrestle_gateway::{reply::strip_hop_by_hop_headers, server_send::is_final};
 use redwingtrestle_wire::caller;
 use reqwest::{
     header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, EXPECT},
@@ -46,11 +46,11 @@
     let request = build_request(client, call, server.0, millis, &id);
     let exchange = async {
         let response = send_once(request, call).await?;
+        check_status(&response).inspect_err(|_| {
+            // The HTTP client may keep the connection, which only the way of a distrusted server leaves unused.
+            shared.response_proof().distrust(shared.clock.now(), server);
+        })?;
         check_echo(shared, server, connection, response.headers(), &id)?;
-        if response.status().is_informational() {
-            let what = format!("status {}, which nobody asked for", response.status());
-            return Err((Failure::ServerLost, what));
-        }
         if response.headers().contains_key(caller::DRAINING) {
             shared.events.push_over_oldest(Event::Draining(server));
         }
@@ -68,6 +68,18 @@
     tokio::time::timeout(left, exchange).await.unwrap_or_else(|_| timeout())
 }
 
+/// Checks that the status of a response is that of a final one.
+pub(crate) fn check_status(response: &reqwest::Response) -> Result<(), (Failure, String)> {
+    let status = response.status();
+    match is_final(status) {
+        true => Ok(()),
+        false => Err((
+            Failure::ServerLost,
+            format!("status {} is not that of a final response", status.as_u16()),
+        )),
+    }
+}
+
 /// Returns the id of one send. Callers may use one id for several requests, and a request may be sent several times, so
 /// the caller's id alone would not tell sends apart.
 fn send_id(id: &str) -> String {
--- a/crates/node/src/dispatch/mod.rs
+++ b/crates/node/src/dispatch/mod.rs
@@ -5,7 +5,7 @@
 mod response;
 
 pub use call::{Call, CallBody, StreamedBody};
-pub(crate) use exchange::{build_request, receive, send_once, time_left};
+pub(crate) use exchange::{build_request, check_status, receive, send_once, time_left};
 pub use exchange::{end_to_end, MAX_BUFFERED_RESPONSE_BYTES, MAX_STORED_RESPONSE_BYTES};
 pub(crate) use response::ReceivedResponse;
 pub use response::{Reply, ResponseBody, ServerResponse, StreamedResponse};
