Bound the memory of request bodies and of small VMs

A node kept up to 256 KiB of each request until the request ended, without a bound in total, so many slow uploads ended its process and all requests with it. Collected responses had 48 MiB on any VM, also on one with 160 MB. A server that did not read made the system's socket buffers take whole bodies, and histogram samples stayed until someone read the metrics.

Collected request bodies and collected responses now have an eighth of `memory_mb` each, at most 48 MiB as before from 384 MB on. The capacity of a buffer counts until its last copy is dropped; a body that may be sent again is still needed. The send buffers of servers' sockets and the receive buffers of callers' sockets have 64 KiB, as those of the other directions had. hyper's limit on a connection's buffer already covers what it holds of a streamed body. Gateways and nodes run the upkeep of the histograms every 5 s.

The call of the upkeep in the two processes is not covered by a test, only the upkeep itself.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -36,6 +36,10 @@
 /// slowly, and all of it counts as memory of the VM.
 const SEND_BUFFER: u32 = 64 * 1024;
 
+/// The receive buffer of a caller's socket, in bytes. By default the system lets it grow to megabytes while a server reads a
+/// streamed body slower than its caller sends it.
+const RECEIVE_BUFFER: u32 = 64 * 1024;
+
 /// The smallest buffer for reading a head, in bytes.
 const MIN_HEAD_BUFFER: usize = 8 * 1024;
 
@@ -49,8 +53,9 @@
     let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
     let socket = socket.map_err(listen)?;
     socket.set_reuseaddr(true).map_err(listen)?;
-    // Accepted sockets inherit the size.
+    // Accepted sockets inherit the sizes.
     socket.set_send_buffer_size(SEND_BUFFER).map_err(listen)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER).map_err(listen)?;
     socket.bind(addr).map_err(listen)?;
     socket.listen(BACKLOG).map_err(listen)
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -74,6 +74,7 @@
     for stream in [Stream::Configuration, Stream::Servers] {
         tokio::spawn(store_watch::watch_stream(shared.clone(), store.clone(), stream));
     }
+    tokio::spawn(telemetry::run_upkeep(telemetry::handle(), telemetry::UPKEEP_INTERVAL));
     tokio::spawn(saved_state::run(shared.clone(), store));
     tokio::spawn(Gossip::new(shared, socket).run());
     Ok(())
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -1,8 +1,7 @@
 //! Accounting of one send in flight: the load that it adds, and the health observations that it yields.
 
 use crate::{
-    outgoing::OutgoingRequest, pool::ServerConnection, response_memory::ResponseMemory,
-    shared::Shared,
+    buffer_memory::BufferMemory, outgoing::OutgoingRequest, pool::ServerConnection, shared::Shared,
 };
 use rand::Rng;
 use redwingtrestle_core::{
@@ -181,7 +180,7 @@
     }
 
     /// Returns the memory for collected responses.
-    pub fn response_memory(&self) -> Arc<ResponseMemory> {
+    pub fn response_memory(&self) -> Arc<BufferMemory> {
         self.shared.response_memory.clone()
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod accept;
 pub mod authentication;
+pub mod buffer_memory;
 pub mod caller;
 pub mod clock;
 pub mod connection_state;
@@ -30,7 +31,6 @@
 pub mod prefixed_body;
 pub mod reply;
 pub mod request;
-pub mod response_memory;
 pub mod saved_state;
 mod server_notice;
 pub mod server_send;
--- a/crates/gateway/src/outgoing.rs
+++ b/crates/gateway/src/outgoing.rs
@@ -1,7 +1,11 @@
 //! Requests as they are sent to backend servers, and their bodies.
 
-use crate::{caller::CallerWatch, prefixed_body::PrefixedBody};
-use bytes::{Bytes, BytesMut};
+use crate::{
+    buffer_memory::{BufferMemory, CollectedBytes},
+    caller::CallerWatch,
+    prefixed_body::PrefixedBody,
+};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
     body::{Body, Frame, Incoming, SizeHint},
@@ -16,6 +20,7 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
+    time::Duration,
 };
 
 /// The longest request body that is buffered for retries, in bytes. A longer one is streamed and sent only once.
@@ -120,22 +125,32 @@
 }
 
 /// Reads a request body, or only its beginning if it is too long to buffer. `limit` is its largest size in bytes.
-/// `time` limits how long the buffered part may take to arrive.
+/// `time` limits how long the buffered part may take to arrive. The buffered part counts in `memory` until no copy of it is
+/// needed, and is refused if that has no room.
 pub async fn read(
     mut body: Incoming,
     limit: u64,
-    time: std::time::Duration,
+    time: Duration,
+    memory: &Arc<BufferMemory>,
 ) -> Result<RequestBody, ResultCode> {
-    if body.size_hint().lower() > limit {
+    let stated = body.size_hint().lower();
+    if stated > limit {
         return Err(ResultCode::BodyTooLarge);
     }
-    let is_stated_long = body.size_hint().lower() > MAX_BUFFERED_BODY as u64;
+    let is_stated_long = stated > MAX_BUFFERED_BODY as u64;
     let most = if is_stated_long { BODY_BEGINNING } else { MAX_BUFFERED_BODY };
-    let mut bytes = BytesMut::new();
+    // A body that does not fit is refused before its caller sends it. No memory is set aside for the others: a caller that
+    // states a length and sends nothing would take it from those that send.
+    if !memory.has_room_for(most.min(stated as usize)) {
+        return Err(ResultCode::MemoryFull);
+    }
+    let mut bytes = CollectedBytes::new(memory);
     let reading = async {
         while let Some(frame) = body.frame().await {
             if let Ok(data) = frame.map_err(|_| ResultCode::BadRequest)?.into_data() {
-                bytes.extend_from_slice(&data);
+                if !bytes.try_extend(&data) {
+                    return Err(ResultCode::MemoryFull);
+                }
             }
             if bytes.len() > most {
                 return Ok(true);
@@ -148,6 +163,7 @@
     if bytes.len() as u64 > limit {
         return Err(ResultCode::BodyTooLarge);
     }
+    bytes.shrink();
     let remaining = limit - bytes.len() as u64;
     let first = (!bytes.is_empty()).then(|| bytes.freeze());
     Ok(RequestBody { body: PrefixedBody { first, rest: is_long.then_some(body) }, remaining })
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -23,13 +23,18 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The read buffer of a connection, in bytes, and so the longest head of a response. It bounds the memory that a server
-/// can take with a head that does not end.
-const MAX_READ_BUFFER: usize = 64 * 1024;
+/// can take with a head that does not end. It is also how much of a streamed request body waits for a server that reads
+/// slowly, before more of it is read from the caller.
+const MAX_BUFFER: usize = 64 * 1024;
 
 /// The receive buffer of a connection's socket, in bytes. By default the system lets it grow to megabytes, and all of it
 /// counts as memory of the VM while a caller reads slower than its server sends.
 const RECEIVE_BUFFER: u32 = 64 * 1024;
 
+/// The send buffer of a connection's socket, in bytes. By default the system lets it grow to megabytes for a server that reads
+/// slowly.
+const SEND_BUFFER: u32 = 64 * 1024;
+
 /// The longest idle time of a pooled connection, and its default if the server states no keep-alive time.
 const MAX_IDLE: Span = Span::from_secs(7);
 
@@ -73,7 +78,7 @@
         let socket = connecting.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         socket.set_nodelay(true)?;
         let handshake =
-            http1::Builder::new().max_buf_size(MAX_READ_BUFFER).handshake(TokioIo::new(socket));
+            http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(TokioIo::new(socket));
         let (sender, driver) = handshake.await.map_err(io::Error::other)?;
         // The sender also returns the error to the request that it affects.
         let task = tokio::spawn(async move {
@@ -105,6 +110,7 @@
 async fn open_socket(addr: SocketAddr) -> io::Result<TcpStream> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
+    socket.set_send_buffer_size(SEND_BUFFER)?;
     socket.connect(addr).await
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -124,7 +124,7 @@
     let time_limit =
         requested_ms.map_or(route.timeout, |ms| Span::from_millis(ms).min(route.timeout));
     let limit = routing_config.limits().body;
-    let body = outgoing::read(body, limit, duration(time_limit)).await?;
+    let body = outgoing::read(body, limit, duration(time_limit), &shared.request_memory).await?;
     if shared.planned_stop().is_some_and(|stop| !stop.accepts_request(shared.now())) {
         return Err(ResultCode::NodeLeaving);
     }
--- a/crates/gateway/src/server_send.rs
+++ b/crates/gateway/src/server_send.rs
@@ -1,6 +1,7 @@
 //! One send of a request to one backend server.
 
 use crate::{
+    buffer_memory::{BufferMemory, CollectedBytes},
     clock::duration,
     header_names::HeaderNames,
     in_flight::InFlightSend,
@@ -8,7 +9,6 @@
     pool::{keep_alive_timeout, ServerConnection},
     prefixed_body::PrefixedBody,
     reply::StreamedResponse,
-    response_memory::{CollectedBytes, ResponseMemory},
     server_notice,
     shared::Shared,
 };
@@ -404,7 +404,7 @@
 /// memory.
 async fn buffer_body(
     mut body: Incoming,
-    memory: &Arc<ResponseMemory>,
+    memory: &Arc<BufferMemory>,
 ) -> Result<BufferedBody, hyper::Error> {
     let stated = body.size_hint().exact();
     if stated.is_some_and(|length| length > MAX_BUFFERED_RESPONSE as u64) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,7 +1,7 @@
 //! The state that the threads of a gateway process share.
 
 use crate::{
-    clock::Clock, header_names::HeaderNames, pool::ConnectionPool, response_memory::ResponseMemory,
+    buffer_memory::BufferMemory, clock::Clock, header_names::HeaderNames, pool::ConnectionPool,
     settings::Settings, store::Stream,
 };
 use arc_swap::ArcSwapOption;
@@ -141,7 +141,9 @@
     /// The pool of idle connections to backend servers.
     pub pool: ConnectionPool,
     /// The memory for collected responses.
-    pub response_memory: Arc<ResponseMemory>,
+    pub response_memory: Arc<BufferMemory>,
+    /// The memory for request bodies that are collected.
+    pub request_memory: Arc<BufferMemory>,
     /// The phase of the process.
     pub phase: watch::Sender<Phase>,
     /// Wakes requests that wait for a server or for the first configuration.
@@ -199,7 +201,8 @@
             routing_config: ArcSwapOption::empty(),
             head_limit: watch::Sender::new(CallerLimits::default().head),
             pool: ConnectionPool::default(),
-            response_memory: Arc::default(),
+            response_memory: Arc::new(BufferMemory::for_vm(settings.memory_mb)),
+            request_memory: Arc::new(BufferMemory::for_vm(settings.memory_mb)),
             phase: watch::Sender::new(Phase::Running),
             changed: Notify::new(),
             report_now: Notify::new(),
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -1,10 +1,16 @@
 //! Metrics in the Prometheus text format.
 
+use crate::clock::duration;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use redwingtrestle_core::time::Span;
 use std::sync::OnceLock;
 
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
 
+/// How often the samples of histograms are put into their buckets. Until then each sample takes memory, and nobody may ask
+/// for the metrics.
+pub const UPKEEP_INTERVAL: Span = Span::from_secs(5);
+
 /// The bucket bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS: [f64; 12] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0];
 
@@ -31,6 +37,15 @@
     })
 }
 
+/// Puts the samples of all histograms into their buckets at this interval, until the process ends.
+pub async fn run_upkeep(handle: &PrometheusHandle, interval: Span) {
+    let mut timer = tokio::time::interval(duration(interval));
+    loop {
+        timer.tick().await;
+        handle.run_upkeep();
+    }
+}
+
 /// Renders all metrics in the Prometheus text format.
 pub fn render() -> String {
     handle().run_upkeep();
--- a/crates/gateway/tests/common/caller.rs
+++ b/crates/gateway/tests/common/caller.rs
@@ -93,9 +93,14 @@
     format!("GET {path} HTTP/1.1\r\nHost: a.example\r\nRedwing-Request-Id: {attempt}\r\nRedwing-Deadline-Ms: 3000\r\n\r\n")
 }
 
-/// Returns an at-most-once request.
-pub(crate) fn post(attempt: &str) -> String {
+/// Returns the head of an at-most-once request with a body of this length.
+pub(crate) fn upload_head(attempt: &str, length: usize) -> String {
     format!(
-        "POST /once/1 HTTP/1.1\r\nHost: a.example\r\nRedwing-Request-Id: {attempt}\r\nRedwing-Deadline-Ms: 3000\r\nContent-Length: 5\r\n\r\nhello"
+        "POST /once/1 HTTP/1.1\r\nHost: a.example\r\nRedwing-Request-Id: {attempt}\r\nRedwing-Deadline-Ms: 3000\r\nContent-Length: {length}\r\n\r\n"
     )
 }
+
+/// Returns an at-most-once request.
+pub(crate) fn post(attempt: &str) -> String {
+    upload_head(attempt, 5) + "hello"
+}
--- a/crates/gateway/tests/common/gateway.rs
+++ b/crates/gateway/tests/common/gateway.rs
@@ -1,11 +1,12 @@
 //! A gateway in this process, on addresses of its own.
 
 use super::{
+    backend::registration,
     caller::{Caller, Reply, SLOW_LINK_BUFFER},
     routing::routing_config,
     Backend, MemoryStore, CONDITION_TIMEOUT,
 };
-use redwingtrestle_core::process::registration::RegistrationState;
+use redwingtrestle_core::process::registration::{RegistrationState, ServerId};
 use redwingtrestle_gateway::{
     accept,
     gossip::Gossip,
@@ -133,6 +134,13 @@
         self.wait_until("a configuration is in force", has_config).await;
     }
 
+    /// Registers a server that is no [`Backend`], and waits until the gateway knows it.
+    pub(crate) async fn register_server(&self, id: &ServerId, addr: SocketAddr) {
+        self.store.register(registration(id, addr, RegistrationState::Ready, 1));
+        let is_known = || self.shared.fleet().registry.server(id).is_some();
+        self.wait_until("the server is known", is_known).await;
+    }
+
     /// Waits until `check` is true, and panics with `what` if that takes too long.
     pub(crate) async fn wait_until(&self, what: &str, check: impl Fn() -> bool) {
         let begun = Instant::now();
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -17,9 +17,9 @@
 pub(crate) use self::{
     backend::Backend,
     behaviour::{Behaviour, LARGE_BODY},
-    caller::{get, post, Caller, Reply},
+    caller::{get, post, upload_head, Caller, Reply, SLOW_LINK_BUFFER},
     gateway::{own_loopback_ip, TestGateway},
-    http::{header, read_request, ReceivedRequest},
+    http::{header, read_head, read_request, ReceivedRequest},
     memory::resident_bytes,
     routing::routing_config,
     store::MemoryStore,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,6 +8,7 @@
     shared::Shared,
     stop, telemetry,
 };
+use redwingtrestle_gateway::telemetry::{run_upkeep, UPKEEP_INTERVAL};
 use std::{
     sync::{
         atomic::{AtomicBool, Ordering},
@@ -86,6 +87,7 @@
             runtime.block_on(async {
                 let server = entry::ignite(shared.clone()).await?;
                 let _ = sender.send(server.rocket.shutdown());
+                tokio::spawn(run_upkeep(telemetry::handle(), UPKEEP_INTERVAL));
                 tokio::spawn(homes::tick_forever(shared.local_home.clone(), shared.clock));
                 entry::serve(shared, server).await
             })
