Show the memory of collected bodies and its refusals

Operators saw refusals for want of memory only as log lines, of which at most 500 a second are written, and could not see how near the bound a node is.

--- a/crates/gateway/src/http_api.rs
+++ b/crates/gateway/src/http_api.rs
@@ -51,6 +51,12 @@
 #[get("/v1/metrics")]
 fn metrics_text(shared: &State<Arc<Shared>>) -> String {
     metrics::gauge!("redwing_gateway_open_requests").set(shared.open_count() as f64);
+    for (kind, memory) in
+        [("requests", &shared.request_memory), ("responses", &shared.response_memory)]
+    {
+        metrics::gauge!("redwing_gateway_collected_bytes", "kind" => kind)
+            .set(memory.used() as f64);
+    }
     telemetry::render()
 }
 
--- a/crates/gateway/src/outgoing.rs
+++ b/crates/gateway/src/outgoing.rs
@@ -142,14 +142,14 @@
     // A body that does not fit is refused before its caller sends it. No memory is set aside for the others: a caller that
     // states a length and sends nothing would take it from those that send.
     if !memory.has_room_for(most.min(stated as usize)) {
-        return Err(ResultCode::MemoryFull);
+        return Err(memory_full());
     }
     let mut bytes = CollectedBytes::new(memory);
     let reading = async {
         while let Some(frame) = body.frame().await {
             if let Ok(data) = frame.map_err(|_| ResultCode::BadRequest)?.into_data() {
                 if !bytes.try_extend(&data) {
-                    return Err(ResultCode::MemoryFull);
+                    return Err(memory_full());
                 }
             }
             if bytes.len() > most {
@@ -168,3 +168,9 @@
     let first = (!bytes.is_empty()).then(|| bytes.freeze());
     Ok(RequestBody { body: PrefixedBody { first, rest: is_long.then_some(body) }, remaining })
 }
+
+/// Counts a refusal for want of memory, and returns its code.
+fn memory_full() -> ResultCode {
+    metrics::counter!("redwing_gateway_memory_refusals_total").increment(1);
+    ResultCode::MemoryFull
+}
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -71,5 +71,14 @@
     describe_gauge!("redwing_gateway_config_version", "Version of the configuration in force");
     describe_gauge!("redwing_store_era", "Number of times that the store was restored from a copy");
     describe_gauge!("redwing_gateway_peers", "Other nodes that are heard");
+    describe_gauge!(
+        "redwing_gateway_collected_bytes",
+        Unit::Bytes,
+        "Memory of the collected bodies of requests and of responses"
+    );
+    describe_counter!(
+        "redwing_gateway_memory_refusals_total",
+        "Requests refused because collected bodies take all their memory"
+    );
     describe_gauge!("redwing_gateway_open_requests", "Requests that are not answered yet");
 }
--- a/crates/gateway/tests/collected_bodies.rs
+++ b/crates/gateway/tests/collected_bodies.rs
@@ -8,7 +8,7 @@
     SLOW_LINK_BUFFER,
 };
 use redwingtrestle_core::process::registration::ServerId;
-use redwingtrestle_gateway::buffer_memory::CollectedBytes;
+use redwingtrestle_gateway::{buffer_memory::CollectedBytes, telemetry};
 use std::{
     net::SocketAddr,
     sync::{
@@ -124,9 +124,10 @@
 }
 
 /// Guards against a request that runs, or waits, although there is no memory for its body, against one without a body that is
-/// refused, and against refusals after the memory is free.
+/// refused, against refusals after the memory is free, and against refusals that no counter shows.
 #[tokio::test]
 async fn request_without_memory_for_its_body_is_refused_at_once() {
+    telemetry::handle();
     let server = Backend::start("i-1", Behaviour::Serve).await;
     let gateway = TestGateway::with_settings(SMALL_VM, &[&server]).await;
     let memory = &gateway.shared.request_memory;
@@ -146,6 +147,7 @@
         assert!(reply.elapsed < Duration::from_millis(300), "{text}: {:?}", reply.elapsed);
     }
     assert!(server.received().is_empty());
+    assert!(telemetry::render().contains("redwing_gateway_memory_refusals_total 4"));
     assert_eq!(gateway.call(&get("/free/1", "r4")).await.status, 200);
     drop(others);
     assert_eq!(gateway.call(&post("r5")).await.status, 200);
