--- a/crates/gateway/src/buffer_memory.rs
+++ b/crates/gateway/src/buffer_memory.rs
@@ -85,16 +85,23 @@
     /// Adds bytes if the memory that they take is within the limit. Returns whether it is.
     pub fn try_extend(&mut self, data: &[u8]) -> bool {
         let length = self.bytes.len() + data.len();
-        if length > self.bytes.capacity() {
-            let capacity = length.max(2 * self.bytes.capacity());
-            if !self.memory.try_add(capacity - self.counted) {
-                return false;
-            }
+        // Without room to grow as usual, the bytes may still fit.
+        let doubled = length.max(2 * self.bytes.capacity());
+        let fits = length <= self.bytes.capacity() || self.grow(doubled) || self.grow(length);
+        if fits {
+            self.extend(data);
+        }
+        fits
+    }
+
+    /// Takes memory for so many bytes in all if it is within the limit.
+    fn grow(&mut self, capacity: usize) -> bool {
+        let fits = self.memory.try_add(capacity - self.counted);
+        if fits {
             self.counted = capacity;
             self.bytes.reserve_exact(capacity - self.bytes.len());
         }
-        self.extend(data);
-        true
+        fits
     }
 
     /// Releases the memory that the bytes do not need.
--- a/crates/gateway/tests/buffer_memory.rs
+++ b/crates/gateway/tests/buffer_memory.rs
@@ -36,6 +36,16 @@
     assert_eq!((second.len(), memory.used()), (MIB + 1, 2 * MIB));
 }
 
+/// Guards against refusing bytes that fit because the buffer would grow beyond the bound.
+#[test]
+fn buffer_grows_by_what_it_needs_near_the_limit() {
+    let memory = Arc::new(BufferMemory::for_vm(32.0));
+    let mut collected = CollectedBytes::new(&memory);
+    assert!(collected.try_extend(&vec![1; 3 * MIB]) && collected.try_extend(&vec![2; MIB]));
+    assert_eq!(memory.used(), 4 * MIB);
+    assert!(!collected.try_extend(&[3]));
+}
+
 /// Guards against counting the bytes that arrived in place of the memory that they take.
 #[test]
 fn capacity_is_counted_until_the_last_copy_is_dropped() {
