--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,8 +1,8 @@
 //! The state that the threads of a gateway process share.
 
 use crate::{
-    clock::Clock, header_names::HeaderNames, pool::ConnectionPool, quota_charge::QuotaCharge,
-    response_memory::ResponseMemory, settings::Settings, store::Stream,
+    buffer_memory::BufferMemory, clock::Clock, header_names::HeaderNames, pool::ConnectionPool,
+    quota_charge::QuotaCharge, settings::Settings, store::Stream,
 };
 use arc_swap::ArcSwapOption;
 use rand::{rngs::StdRng, Rng, SeedableRng};
@@ -143,7 +143,9 @@
     /// The pool of idle connections to backend servers.
     pub pool: ConnectionPool,
     /// The memory for collected responses.
-    pub response_memory: Arc<ResponseMemory>,
+    pub response_memory: Arc<BufferMemory>,
+    /// The memory for request bodies that are collected.
+    pub request_memory: Arc<BufferMemory>,
     /// The phase of the process.
     pub phase: watch::Sender<Phase>,
     /// Wakes requests that wait for a server or for the first configuration.
@@ -208,7 +210,8 @@
             routing_config: ArcSwapOption::empty(),
             head_limit: watch::Sender::new(CallerLimits::default().head),
             pool: ConnectionPool::default(),
-            response_memory: Arc::default(),
+            response_memory: Arc::new(BufferMemory::for_vm(settings.memory_mb)),
+            request_memory: Arc::new(BufferMemory::for_vm(settings.memory_mb)),
             phase: watch::Sender::new(Phase::Running),
             changed: Notify::new(),
             report_now: Notify::new(),
