--- a/crates/core/tests/workspace_quota.rs
+++ b/crates/core/tests/workspace_quota.rs
@@ -87,6 +87,15 @@
     }
 }
 
+/// All callers come to one node, and go to another one again and again.
+fn moving_together(fleet: &mut QuotaFleet) {
+    fleet.set_load(0.9);
+    for turn in 0..6 {
+        fleet.set_weights(|node| f64::from(u8::from(node == turn % 3)));
+        fleet.run(4_000);
+    }
+}
+
 /// One node gets as many requests as all others.
 fn uneven(fleet: &mut QuotaFleet) {
     let others = (fleet.node_count() - 1) as f64;
@@ -150,6 +159,9 @@
     moving_load_of_three_nodes_is_let_through: fleet(3, 1, 208.0), MOVING, moving;
     moving_load_of_a_limit_of_5_is_let_through: fleet(53, 2, 5.0), MOVING, moving;
     moving_load_over_slow_links_is_let_through: SLOW_LINKS, MOVING, moving;
+    /// Guards against a node that takes its own new callers for a sign of as many at all others.
+    load_that_moves_to_one_node_is_let_through: FLEET, MOVING, moving_together;
+    load_that_moves_to_one_node_of_three_is_let_through: fleet(3, 1, 208.0), MOVING, moving_together;
     /// Guards against equal parts, where one node has half of the callers.
     uneven_load_gets_the_whole_quota: FLEET, MOVING, uneven;
     uneven_load_of_a_limit_of_20_gets_the_whole_quota: fleet(53, 2, 20.0), MOVING, uneven;
