Count the time limit of a waiting request from its arrival

A request that had been read and waited for its turn got its whole time limit again when the turn came, so an order could run after its caller had given up. The time now counts from the arrival of its first byte; one whose time has passed by its turn is refused as not run. Keys and the age of the configuration are still judged by the time at which the request is served.

The new case of tests/pipelining.rs fails without the recorded arrival.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -6,7 +6,6 @@
     error::{Error, Result},
     inspected_socket::InspectedSocket,
     linger::linger,
-    pipeline::Pipeline,
     reply::{self, ReplyBody},
     request,
     shared::{wait_for_closing, OpenConnectionGuard, Phase, Shared},
@@ -91,7 +90,7 @@
             "request refused: it has both Content-Length and Transfer-Encoding");
         reply::refusal(ResultCode::BadRequest, None)
     } else {
-        serve_in_turn(&shared, incoming, &connection_state.pipeline, &busy).await
+        serve_in_turn(&shared, incoming, &connection_state, &busy).await
     };
     // Requests that were started ahead have reached servers, so in a planned stop the last of them closes the connection.
     let is_last = *shared.phase.borrow() != Phase::Running && connection_state.pipeline.is_empty();
@@ -108,11 +107,12 @@
 async fn serve_in_turn(
     shared: &Arc<Shared>,
     incoming: Request<Incoming>,
-    pipeline: &Pipeline,
+    connection_state: &ConnectionState,
     busy: &BusyGuard,
 ) -> Response<ReplyBody> {
+    let arrival = connection_state.take_arrival();
     let (head, body) = incoming.into_parts();
-    if let Some(started) = pipeline.take(&head) {
+    if let Some(started) = connection_state.pipeline.take(&head) {
         busy.set_attempt(&started.attempt);
         busy.share_turn();
         return started.response().await;
@@ -120,7 +120,7 @@
     let attempt = request::attempt(shared, &head.headers);
     busy.set_attempt(&attempt);
     let incoming = Request::from_parts(head, Some(body));
-    request::serve(shared.clone(), incoming, attempt, None, Some(busy)).await
+    request::serve(shared.clone(), incoming, attempt, arrival, None, Some(busy)).await
 }
 
 async fn handle_connection(shared: Arc<Shared>, socket: TcpStream, _open: OpenConnectionGuard) {
--- a/crates/gateway/src/connection_state.rs
+++ b/crates/gateway/src/connection_state.rs
@@ -28,6 +28,8 @@
     pub(crate) framing: AtomicU8,
     /// Whether the body of a request has not been read to its end.
     pub(crate) in_body: AtomicBool,
+    /// When the head of a request arrived that was held back, in microseconds, else 0.
+    arrival: AtomicU64,
     /// The requests that were started ahead of their turn.
     pub(crate) pipeline: Pipeline,
     since: AtomicU64,
@@ -45,6 +47,7 @@
             activity: AtomicU8::new(IDLE),
             framing: AtomicU8::new(FRAMING_UNSEEN),
             in_body: AtomicBool::new(false),
+            arrival: AtomicU64::new(0),
             pipeline: Pipeline::default(),
             since: AtomicU64::new(shared.now().as_micros()),
             replied: Notify::new(),
@@ -59,6 +62,19 @@
         self.activity.store(activity, Ordering::SeqCst);
     }
 
+    /// Sets when the next request arrived, because it was held back.
+    pub(crate) fn set_arrival(&self, arrival: Timestamp) {
+        self.arrival.store(arrival.as_micros(), Ordering::SeqCst);
+    }
+
+    /// Returns when the request that has its turn arrived.
+    pub(crate) fn take_arrival(&self) -> Timestamp {
+        match self.arrival.swap(0, Ordering::SeqCst) {
+            0 => self.shared.now(),
+            arrival => Timestamp::from_micros(arrival),
+        }
+    }
+
     /// Records that the socket has taken all bytes that the HTTP library had for it.
     pub(crate) fn record_flush(&self) {
         if self.activity.load(Ordering::SeqCst) == WRITING {
--- a/crates/gateway/src/inspected_socket.rs
+++ b/crates/gateway/src/inspected_socket.rs
@@ -14,8 +14,9 @@
 };
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
-use redwingtrestle_core::time::Span;
+use redwingtrestle_core::time::{Span, Timestamp};
 use std::{
+    collections::VecDeque,
     future::Future,
     io,
     pin::Pin,
@@ -31,6 +32,10 @@
 /// No more is read ahead while so many bytes are held back.
 const MAX_HELD_BYTES: usize = 16 * 1024;
 
+/// The most different arrivals of held bytes that are told apart. Later ones count as the last of these, so that single bytes
+/// do not take more memory.
+const MAX_ARRIVALS: usize = 32;
+
 /// How often the end of the connection is looked for while no more is read ahead.
 const END_CHECK_INTERVAL: Span = Span::from_millis(50);
 
@@ -44,6 +49,8 @@
     head_limit: usize,
     /// Bytes that were read and that the HTTP library has not got yet.
     held: BytesMut,
+    /// How many of these arrived together, and when, the earliest first.
+    arrivals: VecDeque<(usize, Timestamp)>,
     /// How many of these belong to requests that were started ahead of their turn.
     started: usize,
     /// Whether the first request that was not started has to wait for its turn.
@@ -60,6 +67,7 @@
             framing: RequestFraming::new(),
             head_limit: 0,
             held: BytesMut::new(),
+            arrivals: VecDeque::new(),
             started: 0,
             must_wait: false,
             end_check: None,
@@ -77,6 +85,7 @@
             let mut held = BytesMut::from(&bytes[..]);
             held.extend_from_slice(&self.held);
             self.held = held;
+            self.arrivals.push_front((bytes.len(), self.connection_state.shared.now()));
         }
         self.framing.restart_head();
         (self.started, self.must_wait) = (0, false);
@@ -126,12 +135,51 @@
         count
     }
 
+    /// Holds back bytes that have just arrived.
+    fn hold(&mut self, bytes: &[u8]) {
+        self.held.extend_from_slice(bytes);
+        let now = self.connection_state.shared.now();
+        let is_full = self.arrivals.len() >= MAX_ARRIVALS;
+        match self.arrivals.back_mut() {
+            Some((count, _)) if is_full => *count += bytes.len(),
+            _ => self.arrivals.push_back((bytes.len(), now)),
+        }
+    }
+
+    /// Returns when the held byte at `offset` arrived.
+    fn arrival(&self, offset: usize) -> Timestamp {
+        let mut end = 0;
+        let mut holds_offset = |count: &usize| {
+            end += count;
+            offset < end
+        };
+        let arrival = self.arrivals.iter().find(|(count, _)| holds_offset(count));
+        arrival.map_or_else(|| self.connection_state.shared.now(), |(_, at)| *at)
+    }
+
+    /// Forgets the arrivals of the first `count` held bytes.
+    fn forget_arrivals(&mut self, mut count: usize) {
+        while let Some((first, _)) = self.arrivals.front_mut().filter(|_| count > 0) {
+            let part = count.min(*first);
+            *first -= part;
+            count -= part;
+            if *first == 0 {
+                self.arrivals.pop_front();
+            }
+        }
+    }
+
     /// Passes on bytes that were held back.
     fn pass_held(&mut self, buffer: &mut ReadBuf<'_>) {
+        let (is_first, arrival) = (self.framing.is_between_requests(), self.arrival(0));
         let mut held = std::mem::take(&mut self.held);
         let most = held.len().min(buffer.remaining());
         let count = self.follow(&held[..most]);
         buffer.put_slice(&held.split_to(count));
+        self.forget_arrivals(count);
+        if is_first && (!self.framing.is_in_head() || self.framing.is_between_requests()) {
+            self.connection_state.set_arrival(arrival);
+        }
         if self.started == 0 {
             self.must_wait = false;
         }
@@ -153,7 +201,7 @@
         let bytes = &buffer.filled()[before..];
         let count = if bytes.is_empty() { 0 } else { self.follow(bytes) };
         if count < bytes.len() {
-            self.held.extend_from_slice(&bytes[count..]);
+            self.hold(&buffer.filled()[before + count..]);
             buffer.set_filled(before + count);
         }
         Poll::Ready(Ok(()))
@@ -180,7 +228,7 @@
             if part.filled().is_empty() {
                 return Poll::Ready(Ok(()));
             }
-            self.held.extend_from_slice(part.filled());
+            self.hold(part.filled());
         }
     }
 
@@ -189,7 +237,8 @@
         let is_plain = self.framing.latest().is_some_and(|head: HeadSummary| head.is_plain);
         while is_plain && !self.must_wait && self.started < self.held.len() {
             let ConnectionState { pipeline, shared, .. } = &*self.connection_state;
-            match pipeline.start_next(shared, &self.held[self.started..], self.head_limit) {
+            let (bytes, arrival) = (&self.held[self.started..], self.arrival(self.started));
+            match pipeline.start_next(shared, bytes, arrival, self.head_limit) {
                 Start::Started(length) => self.started += length,
                 Start::Later => return,
                 Start::Never => self.must_wait = true,
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -19,6 +19,7 @@
 };
 use redwingtrestle_core::{
     codes::ResultCode,
+    time::Timestamp,
     version::routing_config::{RepeatPolicy, RoutingConfig},
 };
 use std::{
@@ -88,6 +89,7 @@
         &self,
         shared: &Arc<Shared>,
         bytes: &[u8],
+        arrival: Timestamp,
         head_limit: usize,
     ) -> Start {
         // In a planned stop the connection closes after the requests that have started, and at a new limit on heads it is
@@ -111,7 +113,7 @@
         if !may_repeat(&routing_config, &head) {
             return Start::Never;
         }
-        self.lock().push_back(StartedRequest::start(shared.clone(), head, routing_config));
+        self.lock().push_back(StartedRequest::start(shared.clone(), head, arrival, routing_config));
         Start::Started(length)
     }
 
@@ -179,11 +181,16 @@
 }
 
 impl StartedRequest {
-    fn start(shared: Arc<Shared>, head: Request<()>, routing_config: Arc<RoutingConfig>) -> Self {
+    fn start(
+        shared: Arc<Shared>,
+        head: Request<()>,
+        arrival: Timestamp,
+        routing_config: Arc<RoutingConfig>,
+    ) -> Self {
         let attempt = request::attempt(&shared, head.headers());
         let (turn, has_turn) = oneshot::channel();
         let request = head.clone().map(|()| None);
-        let running = run(shared, request, attempt.clone(), routing_config, has_turn);
+        let running = run(shared, request, attempt.clone(), arrival, routing_config, has_turn);
         StartedRequest { attempt, head, task: tokio::spawn(running), turn: Some(turn) }
     }
 
@@ -218,11 +225,12 @@
     shared: Arc<Shared>,
     request: Request<Option<Incoming>>,
     attempt: Arc<str>,
+    arrival: Timestamp,
     routing_config: Arc<RoutingConfig>,
     has_turn: oneshot::Receiver<()>,
 ) -> Response<ReplyBody> {
     let response =
-        request::serve(shared, request, attempt.clone(), Some(routing_config), None).await;
+        request::serve(shared, request, attempt.clone(), arrival, Some(routing_config), None).await;
     let Some(deadline) = response.body().stream_deadline() else { return response };
     match tokio::time::timeout_at(deadline, has_turn).await {
         Ok(_) => response,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -47,17 +47,17 @@
 
 /// Serves one request of a caller. Its body is `None` if it has none.
 ///
-/// A request that was started ahead of its turn brings the configuration by which that was right, and has no `busy` guard,
+/// Its time limit counts from `started_at`, when it arrived. A request that was started ahead of its turn brings the configuration by which that was right, and has no `busy` guard,
 /// as its connection serves an earlier one.
 pub(crate) async fn serve(
     shared: Arc<Shared>,
     request: Request<Option<Incoming>>,
     attempt: Arc<str>,
+    started_at: Timestamp,
     routing_config: Option<Arc<RoutingConfig>>,
     busy: Option<&BusyGuard>,
 ) -> Response<ReplyBody> {
     let open_guard = shared.track_request();
-    let started_at = shared.now();
     let (_caller_guard, caller) = CallerGuard::new();
     let is_head = request.method() == Method::HEAD;
     let mut target = None;
@@ -127,16 +127,20 @@
     let (mut head, body) = request.into_parts();
     let host = host(&head.uri, &head.headers);
     let Some(route) = routing_config.find(host, head.uri.path()) else {
-        let is_outdated = shared.has_outdated_config(started_at);
+        let is_outdated = shared.has_outdated_config(shared.now());
         return Err(if is_outdated { ResultCode::NotReady } else { ResultCode::NoRoute });
     };
-    let credentials = authenticate(shared, started_at, &routing_config, &route, &head.headers)?;
+    let credentials = authenticate(shared, shared.now(), &routing_config, &route, &head.headers)?;
     let draw = shared.fleet().rng.random();
     let service = route.service(draw).cloned().ok_or(ResultCode::NoServer)?;
     let requested_ms =
         head.headers.get(&shared.header_names.deadline).and_then(|v| v.to_str().ok()?.parse().ok());
     let time_limit =
         requested_ms.map_or(route.timeout, |ms| Span::from_millis(ms).min(route.timeout));
+    let deadline = started_at + time_limit;
+    if shared.now() >= deadline {
+        return Err(ResultCode::DeadlineUnmet);
+    }
     let limit = routing_config.limits().body;
     let body = match body {
         Some(body) => outgoing::read(body, limit, duration(time_limit)).await?,
@@ -173,7 +177,7 @@
         credentials,
         outgoing,
         started_at,
-        deadline: started_at + time_limit,
+        deadline,
         route,
     };
     Ok((routed, body))
--- a/crates/gateway/tests/pipelining.rs
+++ b/crates/gateway/tests/pipelining.rs
@@ -271,6 +271,16 @@
     long_response_waits_too_long: Behaviour::LeaveWithLongBody => (),
 }
 
+/// Guards against an order that runs although its time has passed while it waited for its turn.
+#[tokio::test]
+async fn time_limit_counts_from_the_arrival() {
+    let order = post("r2").replace("3000", "150") + &gets(3, 1);
+    let (_gateway, server, mut caller) = behind_slow(Behaviour::Serve, &[&order]).await;
+    let statuses: Vec<u16> = replies(&mut caller, 3).await.iter().map(|r| r.0).collect();
+    assert_eq!(statuses, [200, 503, 200], "refused as not run");
+    assert_eq!(server.received().len(), 2);
+}
+
 /// Guards against request smuggling by heads that arrive together with others, or in parts.
 fn ambiguous_length_is_refused((before, first, rest): (&str, &str, &str)) {
     run(async move {
