--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -27,7 +27,7 @@
 
 /// The pause after a response. Records that arrive in quick succession then share a call, as each call is paid for. It
 /// is short beside the two seconds within which a change must be in force.
-const BATCH_PAUSE: Span = Span::from_millis(200);
+const BATCH_PAUSE: Span = Span::from_millis(400);
 
 /// The pause after a failed call on a node that is not among the first of its data centre. Refused calls are paid for
 /// too, and these nodes learn from the first ones.
