Use all servers of a service while quotas refuse its requests

Requests beyond a quota count as not served, so the declared share of healthy servers has to be in use while they are refused: 4 of 10 and 5 of 15 sound servers got nothing for 2 s while a third of the requests was not served, as the share of all servers is not that of the sound ones.

--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -61,6 +61,10 @@
 /// remaining servers serve the callers, and sending work to servers that probably fail would only add failures.
 const FAILING_SERVICE_SHARE: f64 = 0.04;
 
+/// Share of requests beyond quotas at which all servers are used. The refused callers make the service one that fails many,
+/// although its servers have room, so that any healthy server without work would be capacity that is held back.
+const OVER_QUOTA_SHARE: f64 = 0.02;
+
 /// Failure probability below which an unused server may get a request that cannot be retried.
 const MAX_TRIAL_FAILING: f64 = 0.6;
 
@@ -214,7 +218,8 @@
     let used = usable.iter().filter(|s| s.is_used(now, IN_USE_WINDOW)).count();
     let is_failing = registry.unserved_share(now, request.service) >= FAILING_SERVICE_SHARE;
     let margin = if is_failing { FAILING_MARGIN } else { FLOOR_MARGIN };
-    let share = (options.floor + margin).min(1.0);
+    let is_rationed = registry.over_quota_share(now, request.service) >= OVER_QUOTA_SHARE;
+    let share = if is_rationed { 1.0 } else { (options.floor + margin).min(1.0) };
     let shortfall = ((usable.len() as f64 * share).ceil() as usize).saturating_sub(used);
     if rng.random_range(0..usable.len()) >= shortfall {
         return None;
--- a/crates/core/src/process/server_registry/mod.rs
+++ b/crates/core/src/process/server_registry/mod.rs
@@ -82,6 +82,8 @@
     outcomes: HashMap<ServiceName, ServiceOutcomes>,
     /// Sends of this node by service, where a refused one counts as unserved.
     refusals: HashMap<ServiceName, ServiceOutcomes>,
+    /// Requests at this node by service, where one beyond its workspace's quota counts as unserved.
+    quota_outcomes: HashMap<ServiceName, ServiceOutcomes>,
     recent_ranks: HashMap<ServiceName, RecentRanks>,
     /// Servers with use that was not reported to the peers yet.
     unreported: Vec<ServerId>,
@@ -112,6 +114,7 @@
             latencies: HashMap::new(),
             outcomes: HashMap::new(),
             refusals: HashMap::new(),
+            quota_outcomes: HashMap::new(),
             recent_ranks: HashMap::new(),
             unreported: Vec::new(),
             last_reports: Vec::new(),
--- a/crates/core/src/process/server_registry/observations.rs
+++ b/crates/core/src/process/server_registry/observations.rs
@@ -172,6 +172,19 @@
         self.outcomes.entry(service.clone()).or_default().record(now, is_served);
     }
 
+    /// Counts a request of a service that its workspace's quota allows or not. One that is refused is not served.
+    pub fn record_quota(&mut self, now: Timestamp, service: &ServiceName, is_allowed: bool) {
+        self.quota_outcomes.entry(service.clone()).or_default().record(now, is_allowed);
+        if !is_allowed {
+            self.record_outcome(now, service, false);
+        }
+    }
+
+    /// Returns the share of a service's recent requests at this node that quotas refused.
+    pub fn over_quota_share(&self, now: Timestamp, service: &ServiceName) -> f64 {
+        self.quota_outcomes.get(service).map_or(0.0, |outcomes| outcomes.unserved_share(now))
+    }
+
     /// Adds another node's outcome counts for the service with this tag.
     pub fn add_peer_outcomes(&mut self, now: Timestamp, tag: u32, counts: OutcomeCounts) {
         // Counts for services without servers are ignored, so that a faulty sender cannot exhaust the memory.
--- a/crates/core/tests/server_registry.rs
+++ b/crates/core/tests/server_registry.rs
@@ -447,6 +447,25 @@
     assert!(near_picks(&counts) < 20, "{counts:?}");
 }
 
+/// Guards against a server without work, which may be healthy again, while requests beyond quotas are refused and 10 of 11
+/// servers are in use.
+#[test]
+fn all_servers_are_used_while_quotas_refuse_requests() {
+    let mut registry = registry(11);
+    for number in 0..10 {
+        registry.record_send(at(900), &id(number));
+    }
+    registry.observe(at(950), &id(10), Observation::Error, at(949));
+    let tried = |registry: &ServerRegistry| {
+        picks(&PickerOptions::default(), registry, 0.0).get(&id(10)).copied().unwrap_or(0)
+    };
+    assert!(tried(&registry) < 20, "no request is refused");
+    for number in 0..40 {
+        registry.record_quota(at(960), &ServiceName::from("orders"), number % 8 != 0);
+    }
+    assert!(tried(&registry) > 100, "1 of 11 servers is missing");
+}
+
 /// Guards against callers that are not served although the declared share of all servers is in use, because it is not
 /// the declared share of the healthy ones. In the trial cnsa-gateway-grown trouble-3, 9 of 29 healthy servers got
 /// no requests for two seconds.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -172,9 +172,11 @@
     let credentials = authenticate(shared, shared.now(), &routing_config, &route, &head.headers)?;
     let draw = shared.fleet().rng.random();
     let service = route.service(draw).cloned().ok_or(ResultCode::NoServer)?;
-    // A caller that is turned away is not served, so the floor of servers in use holds as in any other shortage.
-    let charge = charge(shared, credentials.as_ref())
-        .inspect_err(|_| shared.fleet().registry.record_outcome(shared.now(), &service, false))?;
+    let charge = charge(shared, credentials.as_ref());
+    if credentials.is_some() {
+        shared.fleet().registry.record_quota(shared.now(), &service, charge.is_ok());
+    }
+    let charge = charge?;
     let requested_ms =
         head.headers.get(&shared.header_names.deadline).and_then(|v| v.to_str().ok()?.parse().ok());
     let time_limit =
