--- a/crates/core/src/process/slowdown.rs
+++ b/crates/core/src/process/slowdown.rs
@@ -8,7 +8,10 @@
 /// VMs with less than this share, in thousandths of a core, send and receive fewer messages.
 const FULL_RATE_THOUSANDTHS: u32 = 200;
 
+/// The slowdown of a fleet of VMs that are not small, in percent.
 const MIN_PERCENT: u32 = 100;
+
+/// The largest slowdown, in percent.
 const MAX_PERCENT: u32 = 300;
 
 /// The time in which the slowdown grows by one percent. It grows slowly, so that a receiver which misses the message that
--- a/crates/core/src/process/workspace_quota.rs
+++ b/crates/core/src/process/workspace_quota.rs
@@ -9,7 +9,7 @@
 mod report_loss;
 
 use self::{
-    budget::{Budget, Terms},
+    budget::{Budget, Context},
     report_loss::ReportLoss,
 };
 use crate::{
@@ -74,12 +74,13 @@
 }
 
 impl QuotaCounts {
+    /// Adds the requests of a report that is relayed.
     fn add(&mut self, report: &QuotaReport) {
         self.admitted += i64::from(report.admitted);
         self.offered += i64::from(report.offered);
     }
 
-    /// Removes what can be reported.
+    /// Removes what one report can hold, and returns it as a report of the workspace with this tag.
     fn take(&mut self, tag: u64) -> QuotaReport {
         let limit = |count: i64| count.clamp(0, MAX_REPORTED.into()) as u32;
         let offered = limit(self.offered);
@@ -102,6 +103,7 @@
 }
 
 impl QuotaReport {
+    /// Returns whether a node without a fault can have sent the report.
     fn is_plausible(&self) -> bool {
         self.admitted <= self.offered && self.offered <= MAX_REPORTED
     }
@@ -112,7 +114,8 @@
 pub struct DueReports {
     /// The number of the reports in this process.
     pub number: u32,
-    /// What the nodes of this data centre are told: requests at this node, and those of other data centres that it relays.
+    /// What the nodes of this data centre are told: requests at this node, and those of other data centres that it
+    /// relays.
     pub near: Vec<QuotaReport>,
     /// What the other data centres are told: requests at this node.
     pub far: Vec<QuotaReport>,
@@ -188,13 +191,13 @@
     /// Puts the quotas of a configuration in force. A workspace whose quota changed keeps what is left, one without a quota
     /// is forgotten.
     pub fn set_quotas(&mut self, now: Timestamp, quotas: HashMap<u64, Quota>) {
-        let terms = self.terms(now);
+        let context = self.context(now);
         self.quotas = quotas;
         let quotas = &self.quotas;
         self.budgets.retain(|tag, budget| {
             let Some(quota) = quotas.get(tag) else { return false };
             if budget.quota != *quota {
-                budget.settle(now, &terms);
+                budget.settle(now, &context);
                 budget.quota = *quota;
             }
             true
@@ -207,17 +210,17 @@
         if nodes == self.nodes {
             return;
         }
-        let terms = self.terms(now);
-        self.budgets.values_mut().for_each(|budget| budget.settle(now, &terms));
+        let context = self.context(now);
+        self.budgets.values_mut().for_each(|budget| budget.settle(now, &context));
         self.nodes = nodes;
     }
 
     /// Decides on a request of a workspace, and charges it if it is let through. `draw`, from 0 to 1, differs between nodes.
     pub fn charge(&mut self, now: Timestamp, tag: u64, draw: f64) -> QuotaDecision {
-        let terms = self.terms(now);
+        let context = self.context(now);
         let Some(budget) = self.budget(now, tag) else { return QuotaDecision::Unlimited };
-        let was_reported = budget.own.offered == 0 && budget.relayed.offered == 0;
-        let is_admitted = budget.charge(now, &terms, draw);
+        let was_reported = budget.is_reported();
+        let is_admitted = budget.charge(now, &context, draw);
         let decision = if is_admitted {
             QuotaDecision::Admitted
         } else {
@@ -225,7 +228,7 @@
             if is_first {
                 budget.refusal_logged = Some(now);
             }
-            QuotaDecision::Refused { wait: budget.wait(now, &terms), is_first }
+            QuotaDecision::Refused { wait: budget.wait(now, &context), is_first }
         };
         if was_reported {
             self.unreported.push(tag);
@@ -235,9 +238,9 @@
 
     /// Takes back the charge of a request that reached no server.
     pub fn refund(&mut self, now: Timestamp, tag: u64) {
-        let terms = self.terms(now);
+        let context = self.context(now);
         if let Some(budget) = self.budgets.get_mut(&tag) {
-            budget.refund(now, &terms);
+            budget.refund(now, &context);
         }
     }
 
@@ -255,15 +258,15 @@
         if !report.is_plausible() || !(1.0..=MAX_SCALE).contains(&scale) {
             return;
         }
-        let terms = self.terms(now);
+        let context = self.context(now);
         let scale = scale / self.loss.arriving(now);
         let Some(budget) = self.budget(now, report.tag) else { return };
         let (admitted, offered) = (f64::from(report.admitted), f64::from(report.offered));
-        budget.record_peer(now, &terms, admitted * scale, offered * scale);
+        budget.record_peer(now, &context, admitted * scale, offered * scale);
         if !relay || report.offered == 0 {
             return;
         }
-        let was_reported = budget.own.offered == 0 && budget.relayed.offered == 0;
+        let was_reported = budget.is_reported();
         budget.relayed.add(report);
         if was_reported {
             self.unreported.push(report.tag);
@@ -292,46 +295,47 @@
         due
     }
 
+    /// Returns whether enough time has passed since the last report, given what has not been reported.
     fn is_report_due(&self, now: Timestamp) -> bool {
         let since = now.since(self.last_report);
         if since < SURGE_INTERVAL || since >= CALM_INTERVAL {
             return since >= CALM_INTERVAL;
         }
-        let terms = self.terms(now);
+        let context = self.context(now);
         self.unreported.iter().filter_map(|tag| self.budgets.get(tag)).any(|budget| {
             let is_early = budget.relayed.offered > 0 || budget.has_surge(now, since);
-            (is_early || since >= URGENT_INTERVAL) && budget.is_near_limit(now, &terms)
+            (is_early || since >= URGENT_INTERVAL) && budget.is_near_limit(now, &context)
         })
     }
 
     /// Returns the levels of active workspaces for a node that has just started, of those near their limits first. A node
     /// that has just started itself knows none.
     pub fn levels(&self, now: Timestamp) -> Vec<QuotaLevel> {
-        let terms = self.terms(now);
-        if terms.is_new {
+        let context = self.context(now);
+        if context.is_new {
             return Vec::new();
         }
         let (near, calm): (Vec<_>, Vec<_>) =
-            self.budgets.iter().partition(|(_, budget)| budget.is_near_limit(now, &terms));
+            self.budgets.iter().partition(|(_, budget)| budget.is_near_limit(now, &context));
         let tags = near.into_iter().chain(calm).map(|(tag, _)| *tag).take(MAX_LEVELS);
         tags.filter_map(|tag| self.level(now, tag)).collect()
     }
 
     /// Returns the level of a workspace that was active a short time ago.
     pub fn level(&self, now: Timestamp, tag: u64) -> Option<QuotaLevel> {
-        let (tokens, demand) = self.budgets.get(&tag)?.level(now, &self.terms(now));
+        let (tokens, demand) = self.budgets.get(&tag)?.level(now, &self.context(now));
         Some(QuotaLevel { tag, tokens, demand })
     }
 
     /// Takes over what another node says, if this one has just started.
     pub fn adopt_level(&mut self, now: Timestamp, level: &QuotaLevel) {
-        let terms = self.terms(now);
+        let context = self.context(now);
         let QuotaLevel { tag, tokens, demand } = *level;
-        if !terms.is_new || !tokens.is_finite() || !(0.0..=1e9).contains(&demand) {
+        if !context.is_new || !tokens.is_finite() || !(0.0..=1e9).contains(&demand) {
             return;
         }
         if let Some(budget) = self.budget(now, tag) {
-            budget.adopt_level(now, &terms, tokens, demand);
+            budget.adopt_level(now, &context, tokens, demand);
         }
     }
 
@@ -342,8 +346,8 @@
         }
         self.last_cleanup = now;
         self.loss.tick(now);
-        let terms = self.terms(now);
-        self.budgets.retain(|_, budget| !budget.is_idle(now, &terms));
+        let context = self.context(now);
+        self.budgets.retain(|_, budget| !budget.is_idle(now, &context));
     }
 
     /// Returns the number of workspaces for which this node keeps a budget.
@@ -351,19 +355,21 @@
         self.budgets.len()
     }
 
-    fn terms(&self, now: Timestamp) -> Terms {
+    /// Returns the context of decisions at `now`. A new process assumes that there are nodes of which it has not heard.
+    fn context(&self, now: Timestamp) -> Context {
         let age = now.since(self.started);
         let is_new = age < LEARNING_TIME;
         let mut nodes = self.nodes;
         if age < DISCOVERY_TIME || (is_new && nodes.known == 1) {
             nodes.known = nodes.known.max(ASSUMED_NODES);
         }
-        Terms { options: self.options, nodes, is_new }
+        Context { options: self.options, nodes, is_new }
     }
 
+    /// Returns the budget of a workspace, which is created with its first use. `None` if the workspace has no quota.
     fn budget(&mut self, now: Timestamp, tag: u64) -> Option<&mut Budget> {
-        let terms = self.terms(now);
+        let context = self.context(now);
         let quota = self.quotas.get(&tag)?;
-        Some(self.budgets.entry(tag).or_insert_with(|| Budget::new(now, *quota, &terms)))
+        Some(self.budgets.entry(tag).or_insert_with(|| Budget::new(now, *quota, &context)))
     }
 }
--- a/crates/core/tests/uneven_fleet.rs
+++ b/crates/core/tests/uneven_fleet.rs
@@ -233,7 +233,8 @@
     few_small_vms_stay_connected: &(0..40).map(|n| Some(if n < 5 { 0.05 } else { 2.0 })).collect::<Vec<_>>() => true,
 }
 
-/// Returns whether a fleet sends as many datagrams, without relayed ones, which depend on the drawn relays, and lists the same entries as one of the version before.
+/// Returns whether a fleet sends as many datagrams as one of the version before, and lists the same entries. Relayed
+/// datagrams do not count, as they depend on the relays that are drawn.
 fn is_unchanged(cores: &[Option<f64>]) -> bool {
     let play = |cores: &[Option<f64>]| {
         let mut fleet = Fleet::new(cores);
--- a/crates/core/tests/workspace_quota.rs
+++ b/crates/core/tests/workspace_quota.rs
@@ -25,8 +25,8 @@
     Quota { per_second: requests, burst: requests }
 }
 
-/// A fleet of two data centres. A request is known to the nodes of its data centre after 250 to 550 ms, elsewhere after up to
-/// 300 ms more.
+/// A fleet of two data centres. A request is known to the nodes of its data centre after 250 to 550 ms, elsewhere after up
+/// to 300 ms more.
 const FLEET: Plan = Plan {
     seed: 0,
     nodes: 53,
@@ -268,8 +268,8 @@
     };
 }
 
-/// Guards against nodes that take the callers of killed ones for new room. Refusals are not checked: the others may use only their
-/// part of the quota while the killed nodes may just be cut off.
+/// Guards against nodes that admit more because others were killed. Refusals are not checked: the others may use only
+/// their part of the quota while the killed nodes may just be cut off.
 #[test]
 fn killed_nodes_leave_the_quota_kept() {
     for (seed, load) in [(0, 4.7), (1, 4.7), (0, 0.6), (1, 0.6)] {
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -36,8 +36,8 @@
 /// slowly, and all of it counts as memory of the VM.
 const SEND_BUFFER: u32 = 64 * 1024;
 
-/// The receive buffer of a caller's socket, in bytes. By default the system lets it grow to megabytes while a server reads a
-/// streamed body slower than its caller sends it.
+/// The receive buffer of a caller's socket, in bytes. By default the system lets it grow to megabytes while a server
+/// reads a streamed body slower than its caller sends it.
 const RECEIVE_BUFFER: u32 = 64 * 1024;
 
 /// The smallest buffer for reading a head, in bytes.
@@ -97,7 +97,8 @@
     } else {
         serve_in_turn(&shared, incoming, &connection_state, &busy).await
     };
-    // Requests that were started ahead have reached servers, so in a planned stop the last of them closes the connection.
+    // Requests that were started ahead may have reached servers, so in a planned stop only the last of them closes the
+    // connection.
     let is_last = *shared.phase.borrow() != Phase::Running && connection_state.pipeline.is_empty();
     // The head was not inspected if the framing of an earlier request was unclear. If its body is chunked, the connection
     // is closed after it.
--- a/crates/gateway/src/authentication.rs
+++ b/crates/gateway/src/authentication.rs
@@ -1,7 +1,7 @@
 //! Callers' keys: finds the workspace of a request, and replaces the key by the workspace's name.
 //!
 //! Backend servers must never see a key, and trust the workspace that a node names
-//! ([docs/design/hard-load.md](../../../docs/design/hard-load.md)).
+//! ([docs/design/keys.md](../../../docs/design/keys.md)).
 
 use crate::{header_names::HeaderNames, shared::Shared};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION};
@@ -62,7 +62,7 @@
     Ok(Some(Credentials { key: key.into(), workspace }))
 }
 
-/// Returns the key of a request. Two keys are as good as none, as a server could take the other one.
+/// Returns the key of a request. Of several, none is taken: which of them counts would be ambiguous.
 fn key(headers: &HeaderMap) -> Option<&str> {
     let mut values = headers.get_all(AUTHORIZATION).iter();
     let value = values.next()?.to_str().ok()?;
--- a/crates/gateway/src/buffer_memory.rs
+++ b/crates/gateway/src/buffer_memory.rs
@@ -1,7 +1,8 @@
 //! The memory for bodies of requests and responses that are collected before they are passed on.
 //!
-//! One body takes little, but slow callers or a faulty server can make all requests of a node collect at once. So the bodies
-//! of all requests share a bound, and those of all responses another ([docs/design/memory.md](../../../docs/design/memory.md)).
+//! One body takes little, but slow callers or a faulty server can make all requests of a node collect bodies at once. So
+//! the bodies of all requests share a bound, and those of all responses another
+//! ([docs/design/memory.md](../../../docs/design/memory.md)).
 
 use bytes::Bytes;
 use std::sync::{
@@ -9,6 +10,7 @@
     Arc,
 };
 
+/// The bytes of a megabyte of a VM's memory.
 const MIB: f64 = 1_048_576.0;
 
 /// The most bytes that collected bodies of one kind take on a large VM.
@@ -94,7 +96,7 @@
         fits
     }
 
-    /// Takes memory for so many bytes in all if it is within the limit.
+    /// Grows the buffer to this capacity if that is within the limit. Returns whether it is.
     fn grow(&mut self, capacity: usize) -> bool {
         let fits = self.memory.try_add(capacity - self.counted);
         if fits {
@@ -125,6 +127,7 @@
         Bytes::from_owner(self)
     }
 
+    /// Counts the present capacity instead of the one that was counted before.
     fn count_capacity(&mut self) {
         let capacity = self.bytes.capacity();
         self.memory.used.fetch_add(capacity.saturating_sub(self.counted), Ordering::Relaxed);
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -290,6 +290,7 @@
         None
     }
 
+    /// Records for the quota whether any send so far may have reached a server.
     fn update_charge(&self, state: &SendState) {
         if let Some(charge) = &self.charge {
             charge.set_arrived(state.arrivals > 0);
--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -1,4 +1,4 @@
-//! The framing of a caller's requests, followed in the raw bytes of its connection.
+//! The framing of a caller's requests: finds in the raw bytes of its connection where each request ends.
 //!
 //! The HTTP library hides a `Content-Length` beside a chunked body. Two parsers can see different ends of such a request,
 //! and the bytes between would run as a request of their own (request smuggling). Whatever this module cannot follow
@@ -26,7 +26,7 @@
     Chunked,
     /// The head has both `Content-Length` and `Transfer-Encoding`.
     Ambiguous,
-    /// Nothing that this module follows.
+    /// This module cannot tell.
     Unclear,
 }
 
@@ -69,10 +69,12 @@
     }
 }
 
+/// Returns whether a header has the expected name, in any case.
 fn is_name(name: &str, expected: &str) -> bool {
     name.eq_ignore_ascii_case(expected)
 }
 
+/// Returns the end of a request with this value of `Content-Length`.
 fn end_by_length(value: &[u8]) -> BodyEnd {
     let is_number = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
     let length = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
@@ -104,7 +106,7 @@
     })
 }
 
-/// Where the next byte of a connection stands.
+/// The part of a request to which the next byte of a connection belongs.
 #[derive(Debug)]
 enum Place {
     Head,
@@ -166,6 +168,7 @@
         count
     }
 
+    /// Follows `bytes` up to the end of the current part at most, and returns how many of them belong to it.
     fn follow_part(&mut self, bytes: &[u8]) -> usize {
         match &mut self.place {
             Place::Head => self.follow_head(bytes),
@@ -223,6 +226,7 @@
         }
     }
 
+    /// Stops to follow the connection: all further bytes are unclear.
     fn lose_track(&mut self, bytes: &[u8]) -> usize {
         *self = RequestFraming { place: Place::Unclear, ..RequestFraming::new() };
         bytes.len()
--- a/crates/gateway/src/gossip/mod.rs
+++ b/crates/gateway/src/gossip/mod.rs
@@ -53,8 +53,8 @@
     Failure,
 }
 
-/// The nodes that tell a new one the levels of quotas, on average. Several, as messages may be lost.
-const LEVEL_TELLERS: f64 = 4.0;
+/// The number of nodes that send a new one the levels of quotas, on average. Several, as messages may be lost.
+const LEVEL_SENDERS: f64 = 4.0;
 
 /// The task that sends and receives the datagrams.
 #[derive(Debug)]
@@ -188,20 +188,9 @@
                 }
             }
             Datagram::Quotas { relay, number, scale, rows } => {
-                let mut quotas = self.shared.quotas();
-                if !relay {
-                    quotas.record_number(now, from, number, scale.into());
-                }
-                for report in rows.into_iter().map(QuotaReport::from) {
-                    quotas.record_report(now, &report, scale.into(), relay);
-                }
-            }
-            Datagram::QuotaLevels(rows) => {
-                let mut quotas = self.shared.quotas();
-                for level in rows.into_iter().map(QuotaLevel::from) {
-                    quotas.adopt_level(now, &level);
-                }
+                self.record_quotas(now, from, number, scale.into(), relay, rows);
             }
+            Datagram::QuotaLevels(rows) => self.adopt_levels(now, rows),
         }
     }
 
@@ -312,14 +301,14 @@
         self.send_levels(now, to).await;
     }
 
-    /// Tells a new node what is left of the quotas near their limits. A few of the nodes do that.
+    /// Sends a new node the levels of quotas, those near their limits first, if this node is drawn to do so.
     async fn send_levels(&self, now: Timestamp, to: SocketAddr) {
-        let is_teller = {
+        let is_sender = {
             let mut fleet = self.shared.fleet();
             let nodes = fleet.peers.live_count(now) as f64;
-            fleet.rng.random::<f64>() * nodes < LEVEL_TELLERS
+            fleet.rng.random::<f64>() * nodes < LEVEL_SENDERS
         };
-        if !is_teller {
+        if !is_sender {
             return;
         }
         let levels = self.shared.quotas().levels(now);
@@ -329,10 +318,37 @@
         }
     }
 
+    /// Records the requests of workspaces at another node, see [`Datagram::Quotas`].
+    fn record_quotas(
+        &self,
+        now: Timestamp,
+        from: SocketAddr,
+        number: u32,
+        scale: f64,
+        relay: bool,
+        rows: Vec<QuotaDoc>,
+    ) {
+        let mut quotas = self.shared.quotas();
+        if !relay {
+            quotas.record_number(now, from, number, scale);
+        }
+        for report in rows.into_iter().map(QuotaReport::from) {
+            quotas.record_report(now, &report, scale, relay);
+        }
+    }
+
+    /// Takes over what another node says of the quotas, if this one has just started.
+    fn adopt_levels(&self, now: Timestamp, rows: Vec<LevelDoc>) {
+        let mut quotas = self.shared.quotas();
+        for level in rows.into_iter().map(QuotaLevel::from) {
+            quotas.adopt_level(now, &level);
+        }
+    }
+
     /// Tells other nodes the requests of workspaces since the last report.
     ///
-    /// A node of a large data centre tells only a part of its nodes each time, so the report stands for those that the others
-    /// miss.
+    /// A node of a large data centre tells only a part of its nodes each time, so the report also stands for those that
+    /// each of them misses.
     async fn send_quotas(&self, now: Timestamp) {
         let due = self.shared.quotas().take_reports(now);
         if due.near.is_empty() {
@@ -579,6 +595,7 @@
     }
 }
 
+/// Counts a datagram that was sent or received in the metrics.
 fn count_datagram(direction: &'static str, bytes: usize) {
     metrics::counter!("redwing_peer_bytes_total", "direction" => direction).increment(bytes as u64);
     metrics::counter!("redwing_peer_datagrams_total", "direction" => direction).increment(1);
--- a/crates/gateway/src/inspected_socket.rs
+++ b/crates/gateway/src/inspected_socket.rs
@@ -29,14 +29,14 @@
     time::{sleep, Sleep},
 };
 
-/// No more is read ahead while so many bytes are held back.
+/// While this many bytes are held back, no more is read ahead.
 const MAX_HELD_BYTES: usize = 16 * 1024;
 
-/// The most different arrivals of held bytes that are told apart. Later ones count as the last of these, so that single bytes
-/// do not take more memory.
+/// The most arrivals of held bytes that are recorded one by one. Later bytes count as part of the last of these, so that
+/// a caller that sends single bytes takes no more memory.
 const MAX_ARRIVALS: usize = 32;
 
-/// How often the end of the connection is looked for while no more is read ahead.
+/// How often the gateway checks whether the connection has ended while no more is read ahead.
 const END_CHECK_INTERVAL: Span = Span::from_millis(50);
 
 /// A caller's socket that records when a request head begins to arrive, and follows the framing of requests.
@@ -55,6 +55,7 @@
     started: usize,
     /// Whether the first request that was not started has to wait for its turn.
     must_wait: bool,
+    /// Runs until the next check whether the connection has ended.
     end_check: Option<Pin<Box<Sleep>>>,
 }
 
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -117,8 +117,8 @@
         Start::Started(length)
     }
 
-    /// Returns the request that was started ahead and has its turn now. If it is not the one that the HTTP library has read,
-    /// all are cancelled, and run again in their turn.
+    /// Returns the request that was started ahead and has its turn now. If it is not the one that the HTTP library has
+    /// read, all are cancelled, and run again in their turn.
     pub(crate) fn take(&self, head: &Parts) -> Option<StartedRequest> {
         let next = self.lock().pop_front()?;
         if next.is_for(head) {
@@ -144,6 +144,7 @@
     }
 }
 
+/// Counts requests that were started ahead by their end.
 fn count(requests: usize, end: &'static str) {
     if requests > 0 {
         metrics::counter!("redwing_gateway_pipelined_total", "end" => end)
@@ -164,6 +165,7 @@
     Some(request)
 }
 
+/// Returns whether the route of a request allows to run it more than once.
 fn may_repeat(routing_config: &RoutingConfig, head: &Request<()>) -> bool {
     let host = request::host(head.uri(), head.headers());
     let route = routing_config.find(host, head.uri().path());
@@ -176,7 +178,9 @@
     /// The id of the caller's attempt.
     pub(crate) attempt: Arc<str>,
     head: Request<()>,
+    /// Serves the request.
     task: JoinHandle<Response<ReplyBody>>,
+    /// Tells the task that the request has its turn.
     turn: Option<oneshot::Sender<()>>,
 }
 
@@ -194,6 +198,7 @@
         StartedRequest { attempt, head, task: tokio::spawn(running), turn: Some(turn) }
     }
 
+    /// Returns whether this is the request with the given head.
     fn is_for(&self, other: &Parts) -> bool {
         let (method, uri, headers) = (self.head.method(), self.head.uri(), self.head.headers());
         *method == other.method && *uri == other.uri && *headers == other.headers
@@ -219,7 +224,7 @@
     }
 }
 
-/// Serves a request. A streamed response occupies a server until the caller takes it, so it waits for its turn only until
+/// Serves a request ahead of its turn. A streamed response occupies a server until the caller takes it, so it waits for its turn only until
 /// the deadline of its request.
 async fn run(
     shared: Arc<Shared>,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -31,8 +31,8 @@
 /// counts as memory of the VM while a caller reads slower than its server sends.
 const RECEIVE_BUFFER: u32 = 64 * 1024;
 
-/// The send buffer of a connection's socket, in bytes. By default the system lets it grow to megabytes for a server that reads
-/// slowly.
+/// The send buffer of a connection's socket, in bytes. By default the system lets it grow to megabytes for a server that
+/// reads slowly.
 const SEND_BUFFER: u32 = 64 * 1024;
 
 /// The longest idle time of a pooled connection, and its default if the server states no keep-alive time.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -23,7 +23,7 @@
     ids::ServiceName,
     process::{fingerprint::Fingerprint, server_pause},
     time::{Span, Timestamp},
-    version::routing_config::{RepeatPolicy, RoutingConfig},
+    version::routing_config::{HostRoute, RepeatPolicy, RoutingConfig},
 };
 use std::sync::Arc;
 
@@ -48,8 +48,8 @@
 
 /// Serves one request of a caller. Its body is `None` if it has none.
 ///
-/// Its time limit counts from `started_at`, when it arrived. A request that was started ahead of its turn brings the
-/// configuration by which that was right, and has no `busy` guard, as its connection serves an earlier one.
+/// Its time limit counts from `started_at`, when it arrived. A request that was started ahead of its turn keeps the
+/// configuration that allowed this, and has no `busy` guard, as its connection serves an earlier request.
 pub(crate) async fn serve(
     shared: Arc<Shared>,
     request: Request<Option<Incoming>>,
@@ -73,14 +73,9 @@
             forward_or_detach(&shared, routed, body).await
         }
         Err(refusal) => {
-            let code = refusal.code;
+            record_refusal(&shared, &attempt, &refusal);
             quota_wait = refusal.quota_wait;
-            log::info!(target: "requests", attempt = &*attempt, code = code.number(), workspace = refusal.workspace.as_deref(),
-                version = shared.routing_config.load().as_ref().map_or(0, |c| c.version());
-                "request refused before it was sent to a server: {code}");
-            metrics::counter!("redwing_gateway_refusals_total", "code" => code.to_string())
-                .increment(1);
-            RequestResult::Failure(code)
+            RequestResult::Failure(refusal.code)
         }
     };
     let response = match result {
@@ -121,8 +116,9 @@
 #[derive(Debug)]
 struct Refusal {
     code: ResultCode,
-    /// The workspace whose quota is used up, and what the caller is told to wait.
+    /// The workspace whose quota is used up.
     workspace: Option<Arc<str>>,
+    /// How long the caller should wait, if a quota is used up.
     quota_wait: Option<Span>,
 }
 
@@ -132,7 +128,20 @@
     }
 }
 
+/// Logs and counts the refusal of a request.
+fn record_refusal(shared: &Shared, attempt: &str, refusal: &Refusal) {
+    let code = refusal.code;
+    log::info!(target: "requests", attempt, code = code.number(), workspace = refusal.workspace.as_deref(),
+        version = shared.routing_config.load().as_ref().map_or(0, |c| c.version());
+        "request refused before it was sent to a server: {code}");
+    metrics::counter!("redwing_gateway_refusals_total", "code" => code.to_string()).increment(1);
+}
+
 /// Charges the request to the quota of its workspace.
+///
+/// # Errors
+///
+/// [`ResultCode::QuotaExceeded`] with the time to wait, if the quota is used up.
 fn charge(
     shared: &Arc<Shared>,
     credentials: Option<&Credentials>,
@@ -165,18 +174,12 @@
     };
     let (mut head, body) = request.into_parts();
     let host = host(&head.uri, &head.headers);
-    let Some(route) = routing_config.find(host, head.uri.path()) else {
-        let is_outdated = shared.has_outdated_config(shared.now());
-        return Err(if is_outdated { ResultCode::NotReady } else { ResultCode::NoRoute }.into());
-    };
+    let route = find_route(shared, &routing_config, host, head.uri.path())?;
     let credentials = authenticate(shared, shared.now(), &routing_config, &route, &head.headers)?;
     let charge = charge(shared, credentials.as_ref())?;
     let draw = shared.fleet().rng.random();
     let service = route.service(draw).cloned().ok_or(ResultCode::NoServer)?;
-    let requested_ms =
-        head.headers.get(&shared.header_names.deadline).and_then(|v| v.to_str().ok()?.parse().ok());
-    let time_limit =
-        requested_ms.map_or(route.timeout, |ms| Span::from_millis(ms).min(route.timeout));
+    let time_limit = time_limit(shared, &route, &head.headers);
     let deadline = started_at + time_limit;
     if shared.now() >= deadline {
         return Err(ResultCode::DeadlineUnmet.into());
@@ -192,12 +195,7 @@
         return Err(ResultCode::NodeLeaving.into());
     }
     let fingerprint = outgoing::fingerprint(host, &head, &body);
-    reply::strip_hop_by_hop_headers(&mut head.headers);
-    head.headers.remove(CONTENT_LENGTH);
-    head.headers.remove(EXPECT);
-    if routing_config.has_workspaces() {
-        replace_key(&mut head.headers, &shared.header_names, credentials.as_ref());
-    }
+    replace_headers(shared, &mut head.headers, &routing_config, credentials.as_ref());
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let uri = path.parse().map_err(|_| ResultCode::BadRequest)?;
     let at_most_once = route.repeat == RepeatPolicy::Once;
@@ -226,6 +224,49 @@
     Ok((routed, body))
 }
 
+/// Finds the route of a request.
+///
+/// # Errors
+///
+/// [`ResultCode::NoRoute`] if there is none, and [`ResultCode::NotReady`] if this node cannot know whether there is.
+fn find_route(
+    shared: &Shared,
+    routing_config: &RoutingConfig,
+    host: &str,
+    path: &str,
+) -> Result<Arc<HostRoute>, ResultCode> {
+    routing_config.find(host, path).ok_or_else(|| {
+        let is_outdated = shared.has_outdated_config(shared.now());
+        if is_outdated {
+            ResultCode::NotReady
+        } else {
+            ResultCode::NoRoute
+        }
+    })
+}
+
+/// Returns the time limit of a request: the one that its caller states, and at most the route's.
+fn time_limit(shared: &Shared, route: &HostRoute, headers: &HeaderMap) -> Span {
+    let stated = headers.get(&shared.header_names.deadline);
+    let stated_ms = stated.and_then(|value| value.to_str().ok()?.parse().ok());
+    stated_ms.map_or(route.timeout, |ms| Span::from_millis(ms).min(route.timeout))
+}
+
+/// Turns the headers of a caller's request into those that a server gets.
+fn replace_headers(
+    shared: &Shared,
+    headers: &mut HeaderMap,
+    routing_config: &RoutingConfig,
+    credentials: Option<&Credentials>,
+) {
+    reply::strip_hop_by_hop_headers(headers);
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(EXPECT);
+    if routing_config.has_workspaces() {
+        replace_key(headers, &shared.header_names, credentials);
+    }
+}
+
 /// Returns the configuration in force. Right after the start of the process, waits a short time for it.
 async fn wait_for_configuration(shared: &Shared) -> Option<Arc<RoutingConfig>> {
     let until = tokio::time::Instant::now() + duration(CONFIG_WAIT);
--- a/crates/gateway/tests/pipelining.rs
+++ b/crates/gateway/tests/pipelining.rs
@@ -352,7 +352,8 @@
     (text, (200, id))
 }
 
-/// Guards against requests that are lost, doubled, mixed up or not noticed, whatever their kinds and wherever their bytes are cut.
+/// Guards against requests that are lost, doubled, mixed up or not noticed, whatever their kinds and wherever their bytes
+/// are cut.
 fn random_requests_get_their_replies(seed: u64) {
     run(async move {
         let mut rng = StdRng::seed_from_u64(seed);
