--- a/crates/core/src/process/fan_out.rs
+++ b/crates/core/src/process/fan_out.rs
@@ -25,8 +25,8 @@
 /// that misses a failure sends its next request to the failing server, and failures are rare.
 pub const MAX_FAILURE_BATCH: usize = 64;
 
-/// A slowdown does not stretch the interval of status messages in a data centre beyond this. Callers of the directory then
-/// get the entry of a lost node for less than two seconds, as nodes miss three messages before they drop it.
+/// A slowdown does not stretch the interval of status messages in a data centre beyond this. Callers of the directory
+/// then get the entry of a lost node for less than two seconds, as nodes miss three messages before they drop it.
 const MAX_STRETCHED_NEAR_INTERVAL: Span = Span::from_millis(650);
 
 /// A slowdown does not stretch the interval of status messages to other data centres beyond this, so that a lost node is
--- a/crates/core/src/process/peer_table.rs
+++ b/crates/core/src/process/peer_table.rs
@@ -46,8 +46,8 @@
     pub store_reachable: bool,
     /// The processor of the node's VM, if it is known.
     pub cpu_share: Option<CpuShare>,
-    /// The slowdown of the node's messages. Nodes of earlier versions announce none: they send at the usual intervals, and
-    /// expect others to do so.
+    /// The slowdown of the node's messages. Nodes of earlier versions announce none: they send at the usual intervals,
+    /// and expect others to do so.
     pub slowdown: Option<Slowdown>,
 }
 
@@ -175,8 +175,9 @@
         FleetSize { near: same.saturating_sub(1), far: all - same }
     }
 
-    /// Returns the interval at which a node sends its status to this node. It follows from the fleet that the sender sees:
-    /// a node of a small data centre has more nodes to inform elsewhere. The sender announces by how much it is stretched.
+    /// Returns the interval at which a node sends its status to this node. It follows from the fleet that the sender
+    /// sees: a node of a small data centre has more nodes to inform elsewhere. The sender announces by how much it is
+    /// stretched.
     fn interval_of(&self, sender: &NodeStatus) -> Span {
         let size = self.size_seen_from(&sender.zone);
         let slowdown = sender.slowdown.unwrap_or_default();
@@ -301,8 +302,8 @@
         (self.near_sample(now, fanout, rng), self.relays(now, rng))
     }
 
-    /// Returns the targets of a report of changes. There are as many as of a periodic one without slowdown, as a change is
-    /// reported once.
+    /// Returns the targets of a report of changes. There are as many as of a periodic one without slowdown, as a change
+    /// is reported once.
     pub fn change_targets(
         &self,
         now: Timestamp,
--- a/crates/core/src/process/workspace_quota.rs
+++ b/crates/core/src/process/workspace_quota.rs
@@ -1,8 +1,8 @@
 //! The quotas of workspaces: how many requests of each all nodes together let through.
 //!
-//! The nodes cannot agree on each request, so each one estimates what is left for the whole fleet, and the demand at all
-//! nodes, from its own requests and from what the others report. It admits the share of its own requests that the fleet may
-//! admit of all ([docs/design/quotas.md](../../../../docs/design/quotas.md)).
+//! The nodes cannot agree on each request, so each one estimates what is left for the whole fleet, and the demand at
+//! all nodes, from its own requests and from what the others report. It admits the share of its own requests that the
+//! fleet may admit of all ([docs/design/quotas.md](../../../../docs/design/quotas.md)).
 
 mod budget;
 mod recent_count;
@@ -54,8 +54,8 @@
 /// The largest number of nodes for which one report stands.
 const MAX_SCALE: f64 = 64.0;
 
-/// How closely quotas are kept. In any window, the requests of a workspace may exceed its quota by the share `over` and the
-/// number `slack`.
+/// How closely quotas are kept. In any window, the requests of a workspace may exceed its quota by the share `over` and
+/// the number `slack`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaOptions {
     /// The share of the quota.
@@ -188,8 +188,8 @@
         workspaces.filter_map(|w| w.quota.map(|quota| (w.name.tag(), quota))).collect()
     }
 
-    /// Puts the quotas of a configuration in force. A workspace whose quota changed keeps what is left, one without a quota
-    /// is forgotten.
+    /// Puts the quotas of a configuration in force. A workspace whose quota changed keeps what is left, one without a
+    /// quota is forgotten.
     pub fn set_quotas(&mut self, now: Timestamp, quotas: HashMap<u64, Quota>) {
         let context = self.context(now);
         self.quotas = quotas;
@@ -215,7 +215,8 @@
         self.nodes = nodes;
     }
 
-    /// Decides on a request of a workspace, and charges it if it is let through. `draw`, from 0 to 1, differs between nodes.
+    /// Decides on a request of a workspace, and charges it if it is let through. `draw`, from 0 to 1, differs between
+    /// nodes.
     pub fn charge(&mut self, now: Timestamp, tag: u64, draw: f64) -> QuotaDecision {
         let context = self.context(now);
         let Some(budget) = self.budget(now, tag) else { return QuotaDecision::Unlimited };
@@ -244,16 +245,16 @@
         }
     }
 
-    /// Records the number of a report of a node of this data centre, so that the requests of lost reports are made up for.
-    /// The report stands for `scale` reports.
+    /// Records the number of a report of a node of this data centre, so that the requests of lost reports are made up
+    /// for. The report stands for `scale` reports.
     pub fn record_number(&mut self, now: Timestamp, from: SocketAddr, number: u32, scale: f64) {
         if !self.quotas.is_empty() && (1.0..=MAX_SCALE).contains(&scale) {
             self.loss.record(now, from, number, 1.0 / scale);
         }
     }
 
-    /// Counts requests at another node. The report stands for `scale` reports, as the sender tells only a part of the nodes
-    /// each time. If `relay` is set, this node tells the others of its data centre.
+    /// Counts requests at another node. The report stands for `scale` reports, as the sender tells only a part of the
+    /// nodes each time. If `relay` is set, this node tells the others of its data centre.
     pub fn record_report(&mut self, now: Timestamp, report: &QuotaReport, scale: f64, relay: bool) {
         if !report.is_plausible() || !(1.0..=MAX_SCALE).contains(&scale) {
             return;
--- a/crates/core/src/process/workspace_quota/budget.rs
+++ b/crates/core/src/process/workspace_quota/budget.rs
@@ -50,7 +50,8 @@
 /// The share of the allowed excess that nodes use together for the first request of a workspace after their starts.
 const START_SLACK: f64 = 1.0;
 
-/// A multiple of its rate, in requests per second, that a workspace may send while nodes start and do not hear each other.
+/// A multiple of its rate, in requests per second, that a workspace may send while nodes start and do not hear each
+/// other.
 const START_OVERLOAD: f64 = 4.0;
 
 /// The demand and the pool of all nodes, as far as this node has heard.
--- a/crates/core/tests/uneven_fleet.rs
+++ b/crates/core/tests/uneven_fleet.rs
@@ -254,8 +254,8 @@
     one_hundred_and_seventy_eight_equal_vms: &[Some(0.5); 178] => true,
 }
 
-/// Returns the share of picks in percent, in 400 responses, that go to the large VMs, which are the first of a data centre,
-/// and whether each response lists all entries. The share is rounded to 5%, as rows may be drawn at random.
+/// Returns the share of picks in percent, in 400 responses, that go to the large VMs, which are the first of a data
+/// centre, and whether each response lists all entries. The share is rounded to 5%, as rows may be drawn at random.
 fn picks((nodes, large, cores): (usize, usize, f64)) -> (u32, bool) {
     let cores: Vec<_> =
         (0..nodes).map(|n| Some(if n / ZONES < large { cores } else { 0.1 })).collect();
--- a/crates/core/tests/workspace_quota.rs
+++ b/crates/core/tests/workspace_quota.rs
@@ -25,8 +25,8 @@
     Quota { per_second: requests, burst: requests }
 }
 
-/// A fleet of two data centres. A request is known to the nodes of its data centre after 250 to 550 ms, elsewhere after up
-/// to 300 ms more.
+/// A fleet of two data centres. A request is known to the nodes of its data centre after 250 to 550 ms, elsewhere after
+/// up to 300 ms more.
 const FLEET: Plan = Plan {
     seed: 0,
     nodes: 53,
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -71,9 +71,9 @@
     Limits { relay: bool, rows: Vec<LimitDoc> },
     /// Servers that ended while they ran a request, as in [`Limits`](Datagram::Limits).
     Crashes { relay: bool, rows: Vec<CrashDoc> },
-    /// Requests of workspaces since the sender's last report, which has the number before. If `relay` is set, the receiver
-    /// adds them to its next report in its own data centre. The report stands for `scale` reports. Nodes of the version
-    /// before drop it.
+    /// Requests of workspaces since the sender's last report, which has the number before. If `relay` is set, the
+    /// receiver adds them to its next report in its own data centre. The report stands for `scale` reports. Nodes of
+    /// the version before drop it.
     Quotas { relay: bool, number: u32, scale: f32, rows: Vec<QuotaDoc> },
     /// What is left of quotas, for a node that has just started.
     QuotaLevels(Vec<LevelDoc>),
@@ -154,8 +154,8 @@
     age_ms: u32,
 }
 
-/// Stands for no contact where a pace follows, as a contact's number is at least 1. Earlier versions take it for a contact
-/// that is older than all others.
+/// Stands for no contact where a pace follows, as a contact's number is at least 1. Earlier versions take it for a
+/// contact that is older than all others.
 const NO_CONTACT: ContactDoc = ContactDoc { node: 0, number: 0, age_ms: u32::MAX };
 
 impl From<ContactReport> for ContactDoc {
--- a/crates/gateway/src/inspected_socket.rs
+++ b/crates/gateway/src/inspected_socket.rs
@@ -104,8 +104,8 @@
         matches!(activity, SERVING | WRITING) && self.framing.is_between_requests()
     }
 
-    /// Returns whether the connection is about to be handed to an instance of the HTTP library with another limit on heads,
-    /// so that this one must not get the next request.
+    /// Returns whether the connection is about to be handed to an instance of the HTTP library with another limit on
+    /// heads, so that this one must not get the next request.
     fn awaits_limit(&self) -> bool {
         let ConnectionState { pipeline, shared, .. } = &*self.connection_state;
         self.framing.is_between_requests()
@@ -208,8 +208,8 @@
         Poll::Ready(Ok(()))
     }
 
-    /// Reads ahead while a request is in service, and starts what may run at the same time. Completes only with the end of
-    /// the connection. The unfilled part of `buffer` is used for reading.
+    /// Reads ahead while a request is in service, and starts what may run at the same time. Completes only with the end
+    /// of the connection. The unfilled part of `buffer` is used for reading.
     fn poll_ahead(
         &mut self,
         context: &mut Context<'_>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,10 +1,10 @@
 //! The gateway of redwingtrestle: accepts callers' requests under configurable header names, and forwards them to
 //! backend servers that register themselves.
 //!
-//! A request passes through the modules [`accept`], [`request`], [`authentication`], [`forwarding`], [`server_send`] and
-//! [`pool`], and returns as a [`reply`]. State of the fleet comes from the platform's store ([`store_watch`]) and from other nodes
-//! ([`gossip`], [`peer_rpc`]), and is kept in [`shared`]. The algorithms are in `redwingtrestle-core`; see
-//! `docs/platform.md`.
+//! A request passes through the modules [`accept`], [`request`], [`authentication`], [`forwarding`], [`server_send`]
+//! and [`pool`], and returns as a [`reply`]. State of the fleet comes from the platform's store ([`store_watch`]) and
+//! from other nodes ([`gossip`], [`peer_rpc`]), and is kept in [`shared`]. The algorithms are in `redwingtrestle-core`;
+//! see `docs/platform.md`.
 
 #![forbid(unsafe_code)]
 
--- a/crates/gateway/src/outgoing.rs
+++ b/crates/gateway/src/outgoing.rs
@@ -125,8 +125,8 @@
 }
 
 /// Reads a request body, or only its beginning if it is too long to buffer. `limit` is its largest size in bytes.
-/// `time` limits how long the buffered part may take to arrive. The buffered part counts in `memory` until no copy of it is
-/// needed, and is refused if that has no room.
+/// `time` limits how long the buffered part may take to arrive. The buffered part counts in `memory` until no copy of
+/// it is needed, and is refused if that has no room.
 pub async fn read(
     mut body: Incoming,
     limit: u64,
@@ -139,8 +139,8 @@
     }
     let is_stated_long = stated > MAX_BUFFERED_BODY as u64;
     let most = if is_stated_long { BODY_BEGINNING } else { MAX_BUFFERED_BODY };
-    // A body that does not fit is refused before its caller sends it. No memory is set aside for the others: a caller that
-    // states a length and sends nothing would take it from those that send.
+    // A body that does not fit is refused before its caller sends it. No memory is set aside for the others: a caller
+    // that states a length and sends nothing would take it from those that send.
     if !memory.has_room_for(most.min(stated as usize)) {
         return Err(memory_full());
     }
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -83,8 +83,8 @@
         self.lock().is_empty()
     }
 
-    /// Starts the request whose head is at the beginning of `bytes`. `head_limit` is the limit on heads that the connection
-    /// applies, in bytes.
+    /// Starts the request whose head is at the beginning of `bytes`. `head_limit` is the limit on heads that the
+    /// connection applies, in bytes.
     pub(crate) fn start_next(
         &self,
         shared: &Arc<Shared>,
@@ -224,8 +224,8 @@
     }
 }
 
-/// Serves a request ahead of its turn. A streamed response occupies a server until the caller takes it, so it waits for its turn only until
-/// the deadline of its request.
+/// Serves a request ahead of its turn. A streamed response occupies a server until the caller takes it, so it waits for
+/// its turn only until the deadline of its request.
 async fn run(
     shared: Arc<Shared>,
     request: Request<Option<Incoming>>,
--- a/crates/gateway/src/server_send.rs
+++ b/crates/gateway/src/server_send.rs
@@ -354,8 +354,8 @@
     classify(head.status, ServerResponse { status: head.status, headers: head.headers, body })
 }
 
-/// Returns whether a status can be that of a final response. The HTTP library takes any number from 100 to 999, passes on a
-/// change of the protocol (101), for which nobody asks, and skips the other informational responses.
+/// Returns whether a status can be that of a final response. The HTTP library takes any number from 100 to 999, passes
+/// on a change of the protocol (101), for which nobody asks, and skips the other informational responses.
 pub fn is_final(status: StatusCode) -> bool {
     FINAL_STATUSES.contains(&status.as_u16())
 }
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -62,7 +62,8 @@
     pub even_cost: f64,
     /// The cost of a late response, in failed requests.
     pub late_cost: f64,
-    /// The window in which a workspace's requests are counted against its quota, set in seconds (`quota_window_s`).
+    /// The window of the bound on the requests of a workspace, set in seconds (`quota_window_s`). Decisions do not depend
+    /// on it, as the bound applies to windows of any length.
     pub quota_window: Span,
     /// The share of a quota by which the requests of a window may exceed it.
     pub quota_over: f64,
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -7,8 +7,8 @@
 
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
 
-/// How often the samples of histograms are put into their buckets. Until then each sample takes memory, and nobody may ask
-/// for the metrics.
+/// How often the samples of histograms are put into their buckets. Until then each sample takes memory, and nobody may
+/// ask for the metrics.
 pub const UPKEEP_INTERVAL: Span = Span::from_secs(5);
 
 /// The bucket bounds of the latency histograms, in seconds.
--- a/crates/gateway/tests/collected_bodies.rs
+++ b/crates/gateway/tests/collected_bodies.rs
@@ -77,8 +77,8 @@
     Caller { socket: socket.connect(gateway.entry).await.unwrap() }
 }
 
-/// Guards against a node that takes whole bodies from callers, and keeps them in its own memory or in that of its sockets,
-/// while a server does not read them.
+/// Guards against a node that takes whole bodies from callers, and keeps them in its own memory or in that of its
+/// sockets, while a server does not read them.
 #[tokio::test]
 async fn body_waits_at_its_caller_while_the_server_does_not_read() {
     let (id, addr) = start_slow_server(None).await;
@@ -126,8 +126,8 @@
     }
 }
 
-/// Guards against a request that runs, or waits, although there is no memory for its body, against one without a body that is
-/// refused, against refusals after the memory is free, and against refusals that no counter shows.
+/// Guards against a request that runs, or waits, although there is no memory for its body, against one without a body
+/// that is refused, against refusals after the memory is free, and against refusals that no counter shows.
 #[tokio::test]
 async fn request_without_memory_for_its_body_is_refused_at_once() {
     telemetry::handle();
--- a/crates/gateway/tests/histogram_memory.rs
+++ b/crates/gateway/tests/histogram_memory.rs
@@ -1,5 +1,5 @@
-//! The memory of the histograms of a process whose metrics nobody asks for. The test stands alone, as it measures its whole
-//! process.
+//! The memory of the histograms of a process whose metrics nobody asks for. The test stands alone, as it measures its
+//! whole process.
 
 mod common;
 
--- a/crates/gateway/tests/pipelining.rs
+++ b/crates/gateway/tests/pipelining.rs
@@ -67,8 +67,8 @@
     (gateway, server, caller)
 }
 
-/// Guards against requests that wait at the gateway until earlier ones are answered, and against more than a bounded number
-/// of one connection at servers.
+/// Guards against requests that wait at the gateway until earlier ones are answered, and against more than a bounded
+/// number of one connection at servers.
 #[tokio::test]
 async fn pipelined_requests_run_at_the_same_time() {
     let (gateway, server) = gateway(SLOW).await;
@@ -125,7 +125,8 @@
     caller_leaves_behind_more_than_is_read: (400, 9) => (),
 }
 
-/// Guards against an order that runs twice or before the replies to earlier requests, and against requests that overtake it.
+/// Guards against an order that runs twice or before the replies to earlier requests, and against requests that
+/// overtake it.
 fn order_runs_once_and_in_its_turn(order: &str) {
     run(async move {
         let (gateway, server) = gateway(SLOW).await;
@@ -248,8 +249,8 @@
     assert!(received > 3 * common::LARGE_BODY, "the replies were cut after {received} bytes");
 }
 
-/// Guards against a time limit that counts from the turn of a request, one that ends other requests, and a long response that
-/// occupies its server beyond the limit.
+/// Guards against a time limit that counts from the turn of a request, one that ends other requests, and a long
+/// response that occupies its server beyond the limit.
 fn time_limit_holds_for_each_request(behaviour: Behaviour) {
     run(async move {
         let short = gets(2, 1).replace("3000", "150");
--- a/crates/gateway/tests/upload_memory.rs
+++ b/crates/gateway/tests/upload_memory.rs
@@ -1,4 +1,5 @@
-//! The memory of a node to which many callers send bodies at once. The test stands alone, as it measures its whole process.
+//! The memory of a node to which many callers send bodies at once. The test stands alone, as it measures its whole
+//! process.
 
 mod common;
 
@@ -20,8 +21,8 @@
 /// How long the server takes for each request, in milliseconds. All bodies arrive in that time.
 const SERVICE_MS: u64 = 1_500;
 
-/// The most that the process may grow by, in bytes: the bound, as much for the server in this process, and the connections
-/// of 600 callers with both ends.
+/// The most that the process may grow by, in bytes: the bound, as much for the server in this process, and the
+/// connections of 600 callers with both ends.
 const MAX_GROWTH: u64 = 64_000_000;
 
 async fn upload(gateway: &TestGateway, id: String, body: Arc<str>) -> (String, Reply) {
@@ -33,8 +34,8 @@
     (id, reply)
 }
 
-/// Guards against a node that runs out of memory because it keeps the bodies of many requests that wait for a server, against
-/// a refused request that runs, and against a refusal without the time to come back.
+/// Guards against a node that runs out of memory because it keeps the bodies of many requests that wait for a server,
+/// against a refused request that runs, and against a refusal without the time to come back.
 #[tokio::test]
 async fn many_uploads_take_bounded_memory() {
     let server = ScriptedServer::start("i-1", |turn| {
