--- a/crates/core/tests/uneven_fleet.rs
+++ b/crates/core/tests/uneven_fleet.rs
@@ -233,7 +233,8 @@
     few_small_vms_stay_connected: &(0..40).map(|n| Some(if n < 5 { 0.05 } else { 2.0 })).collect::<Vec<_>>() => true,
 }
 
-/// Returns whether a fleet sends as many datagrams, without relayed ones, which depend on the drawn relays, and lists the same entries as one of the version before.
+/// Returns whether a fleet sends as many datagrams as one of the version before, and lists the same entries. Relayed
+/// datagrams do not count, as they depend on the relays that are drawn.
 fn is_unchanged(cores: &[Option<f64>]) -> bool {
     let play = |cores: &[Option<f64>]| {
         let mut fleet = Fleet::new(cores);
@@ -253,8 +254,8 @@
     one_hundred_and_seventy_eight_equal_vms: &[Some(0.5); 178] => true,
 }
 
-/// Returns the share of picks in percent, in 400 responses, that go to the large VMs, which are the first of a data centre,
-/// and whether each response lists all entries. The share is rounded to 5%, as rows may be drawn at random.
+/// Returns the share of picks in percent, in 400 responses, that go to the large VMs, which are the first of a data
+/// centre, and whether each response lists all entries. The share is rounded to 5%, as rows may be drawn at random.
 fn picks((nodes, large, cores): (usize, usize, f64)) -> (u32, bool) {
     let cores: Vec<_> =
         (0..nodes).map(|n| Some(if n / ZONES < large { cores } else { 0.1 })).collect();
