Complete a configuration of an older node from the store

A node that took its configuration from a node of the version before, which drops workspaces, served requests without keys until the next version, as it ignored the same version from the store (found by review). It watches the store itself then, and replaces the configuration. The test of configurations of older nodes asks for that too.

--- a/crates/gateway/src/peer_rpc.rs
+++ b/crates/gateway/src/peer_rpc.rs
@@ -17,6 +17,7 @@
         server_registry::ServerRecord,
         stream_position::{EraChange, StreamPosition},
     },
+    time::Span,
     version::routing_config::RoutingConfigDoc,
 };
 use serde::{Deserialize, Serialize};
@@ -170,13 +171,21 @@
     NewerStateDoc { routing_config, reads_workspaces: true, servers }
 }
 
-/// Applies a configuration of a peer. Beside workspaces, one without them is taken only from a peer that reads them;
-/// otherwise this node soon reads the store itself.
+/// How long a node watches the store itself after a peer gave it a configuration that may lack workspaces.
+const DIRECT_WATCH_TIME: Span = Span::from_secs(10);
+
+/// Applies a configuration of a peer. One of a peer that does not read workspaces may lack them: beside workspaces it is
+/// ignored, and otherwise this node reads the store itself to complete it.
 fn apply_config(shared: &Shared, doc: &RoutingConfigDoc, reads_workspaces: bool, peer: SocketAddr) {
     let has_workspaces = shared.routing_config.load().as_ref().is_some_and(|c| c.has_workspaces());
-    if has_workspaces && !reads_workspaces {
+    if !reads_workspaces && !has_workspaces {
+        shared.apply_partial_config(doc);
+        shared.watch_directly(DIRECT_WATCH_TIME);
+        return;
+    }
+    if !reads_workspaces {
         log::info!(target: "peers", peer:% = peer, version = doc.version;
-            "a configuration of a node of an older version is ignored, as it lacks the workspaces");
+            "a configuration of a node of an older version is ignored, as it may lack the workspaces");
         return;
     }
     shared.apply_config(doc, "peer");
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -31,7 +31,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
     },
 };
@@ -158,6 +158,8 @@
     pub store_updates: Notify,
     /// The time until which this node watches the store itself, because it does not get new state from others.
     pub watch_until: Mutex<Option<Timestamp>>,
+    /// Whether the configuration in force may lack workspaces, as it comes from a node of an older version.
+    has_partial_config: AtomicBool,
     planned_stop: OnceLock<PlannedStop>,
     open_requests: AtomicUsize,
     open_connections: AtomicUsize,
@@ -218,6 +220,7 @@
             restart_calls: Notify::new(),
             store_updates: Notify::new(),
             watch_until: Mutex::new(None),
+            has_partial_config: AtomicBool::new(false),
             planned_stop: OnceLock::new(),
             open_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
@@ -295,9 +298,26 @@
     /// Puts a configuration in force if it is newer than the current one, and returns whether it is.
     pub fn apply_config(&self, doc: &RoutingConfigDoc, source: &str) -> bool {
         let known = self.routing_config.load().as_ref().map_or(0, |c| c.version());
-        if doc.version <= known {
+        let completes = doc.version == known && self.has_partial_config.load(Ordering::SeqCst);
+        if doc.version < known || (doc.version == known && !completes) {
             return false;
         }
+        self.has_partial_config.store(false, Ordering::SeqCst);
+        self.put_in_force(doc, known, source);
+        true
+    }
+
+    /// Puts a configuration in force that may lack workspaces, if it is newer than the current one. The same version from
+    /// another source replaces it.
+    pub fn apply_partial_config(&self, doc: &RoutingConfigDoc) {
+        let known = self.routing_config.load().as_ref().map_or(0, |c| c.version());
+        if doc.version > known {
+            self.has_partial_config.store(true, Ordering::SeqCst);
+            self.put_in_force(doc, known, "peer of an older version");
+        }
+    }
+
+    fn put_in_force(&self, doc: &RoutingConfigDoc, known: u64, source: &str) {
         let quotas = WorkspaceQuotas::quotas_of(doc);
         self.routing_config.store(Some(Arc::new(RoutingConfig::new(doc.clone()))));
         self.quotas().set_quotas(self.now(), quotas);
@@ -307,7 +327,6 @@
         log::info!(target: "configuration", version = doc.version, before = known,
             routes = doc.routes.len(), source; "a new configuration is in force");
         self.changed.notify_waiters();
-        true
     }
 
     /// Applies one registration record. `None` ends the registration.
--- a/crates/gateway/tests/restored_store.rs
+++ b/crates/gateway/tests/restored_store.rs
@@ -270,6 +270,13 @@
         }
     });
     gateway.wait_until("it has the configuration", || version(&gateway) == Some(5)).await;
+    // Guards against requests without keys, because nodes of the version before drop the workspaces.
+    let mut complete = routing_config(5);
+    complete.workspaces = Some(Vec::new());
+    gateway.store.append(Stream::Configuration, Record::RoutingConfig(Box::new(complete)));
+    let has_workspaces =
+        || gateway.shared.routing_config.load().as_ref().is_some_and(|c| c.has_workspaces());
+    gateway.wait_until("the store completes the configuration", has_workspaces).await;
 }
 
 /// Guards against a node that keeps what a first restored copy said when a second one follows before it was read.
