--- a/crates/core/src/process/picker.rs
+++ b/crates/core/src/process/picker.rs
@@ -49,6 +49,10 @@
 /// A server counts as in use for this long after the last request to it.
 const IN_USE_WINDOW: Span = Span::from_millis(1_500);
 
+/// The same while all servers are used. An unused one waits for the next request that is drawn for it, so the window is
+/// shorter than the time in which each of them should get one.
+const SHORTAGE_WINDOW: Span = Span::from_millis(1_000);
+
 /// Margin above the declared share of servers in use. The node does not know which servers count as healthy for that
 /// share, and the fraction of unused servers among those may be larger than among all.
 const FLOOR_MARGIN: f64 = 0.1;
@@ -215,14 +219,15 @@
     if options.floor == 0.0 || candidates.is_empty() {
         return None;
     }
-    let used = usable.iter().filter(|s| s.is_used(now, IN_USE_WINDOW)).count();
     let unserved = registry.unserved_share(now, request.service);
     let is_failing = unserved >= FAILING_SERVICE_SHARE;
-    let share = match unserved {
-        _ if unserved >= SHORTAGE_SHARE => 1.0,
-        _ if is_failing => (options.floor + FAILING_MARGIN).min(1.0),
-        _ => (options.floor + FLOOR_MARGIN).min(1.0),
+    let (share, window) = if unserved >= SHORTAGE_SHARE {
+        (1.0, SHORTAGE_WINDOW)
+    } else {
+        let margin = if is_failing { FAILING_MARGIN } else { FLOOR_MARGIN };
+        ((options.floor + margin).min(1.0), IN_USE_WINDOW)
     };
+    let used = usable.iter().filter(|s| s.is_used(now, window)).count();
     let shortfall = ((usable.len() as f64 * share).ceil() as usize).saturating_sub(used);
     if rng.random_range(0..usable.len()) >= shortfall {
         return None;
@@ -234,7 +239,7 @@
     let is_near = |s: &TrackedServer| s.registration().zone == *request.zone;
     let mut unused: Vec<&(&TrackedServer, Loss)> = candidates
         .iter()
-        .filter(|(s, _)| !s.is_used(now, IN_USE_WINDOW) && is_near(s) && may_try(s))
+        .filter(|(s, _)| !s.is_used(now, window) && is_near(s) && may_try(s))
         .collect();
     unused.sort_by(|(_, a), (_, b)| a.total.total_cmp(&b.total));
     unused.truncate(shortfall);
