Use one piece of code for what the quotas, keys and small VMs wrote again

Gossip sends the rows of quotas by send_rows, which splits rows into datagrams already, instead of two loops of its own. The median processor of the fleet was computed three times a tick, which is ten times a second, and three gauges were set as often: the tick keeps the slowdown that it has computed, and the gauges are set when the metrics are read, like those of open requests and of memory. The interval of status messages is chosen by the data centre in one place instead of two, and the context of a quota's decision is made once for each request.

--- a/crates/core/src/process/fan_out.rs
+++ b/crates/core/src/process/fan_out.rs
@@ -69,16 +69,15 @@
         interval_at_rate(self.far, FAR_STATUS_RATE).max(MIN_FAR_INTERVAL)
     }
 
-    /// Returns [`near_interval`](Self::near_interval) of a node with this slowdown.
-    pub fn slow_near_interval(self, slowdown: Slowdown) -> Span {
-        let usual = self.near_interval();
-        slowdown.stretch(usual).min(MAX_STRETCHED_NEAR_INTERVAL.max(usual))
-    }
-
-    /// Returns [`far_interval`](Self::far_interval) of a node with this slowdown.
-    pub fn slow_far_interval(self, slowdown: Slowdown) -> Span {
-        let usual = self.far_interval();
-        slowdown.stretch(usual).min(MAX_STRETCHED_FAR_INTERVAL.max(usual))
+    /// Returns the interval between two status messages of a node with this slowdown to the same node, which is of this
+    /// data centre if `is_near` is set.
+    pub fn status_interval(self, is_near: bool, slowdown: Slowdown) -> Span {
+        let (usual, most) = if is_near {
+            (self.near_interval(), MAX_STRETCHED_NEAR_INTERVAL)
+        } else {
+            (self.far_interval(), MAX_STRETCHED_FAR_INTERVAL)
+        };
+        slowdown.stretch(usual).min(most.max(usual))
     }
 
     /// Returns how many nodes of this data centre get a periodic report of a node that would send it to `usual`.
--- a/crates/core/src/process/peer_table.rs
+++ b/crates/core/src/process/peer_table.rs
@@ -180,12 +180,7 @@
     /// stretched.
     fn interval_of(&self, sender: &NodeStatus) -> Span {
         let size = self.size_seen_from(&sender.zone);
-        let slowdown = sender.slowdown.unwrap_or_default();
-        if sender.zone == self.zone {
-            size.slow_near_interval(slowdown)
-        } else {
-            size.slow_far_interval(slowdown)
-        }
+        size.status_interval(sender.zone == self.zone, sender.slowdown.unwrap_or_default())
     }
 
     /// Returns the slowdown of this node's messages, which its status announces.
@@ -193,6 +188,12 @@
         self.slowdown.current()
     }
 
+    /// Returns the slowdown that suited the known nodes at the last call of [`take_due`](Self::take_due), and that the one
+    /// in force follows.
+    pub fn target_slowdown(&self) -> Slowdown {
+        self.slowdown.target()
+    }
+
     /// Returns the slowdown that suits the known nodes. A node of an earlier version would take slower ones for lost, so
     /// there is none beside it.
     pub fn suitable_slowdown(&self) -> Slowdown {
@@ -264,11 +265,7 @@
         for (addr, peer) in &self.peers {
             let zone = peer.status.as_ref().map(|s| s.zone.clone());
             let expected = peer.announced.min(slowdown);
-            let interval = if zone.as_ref() == Some(&self.zone) {
-                size.slow_near_interval(expected)
-            } else {
-                size.slow_far_interval(expected)
-            };
+            let interval = size.status_interval(zone.as_ref() == Some(&self.zone), expected);
             if peer.last_sent.is_none_or(|sent| now.since(sent) >= interval) {
                 due.entry(zone).or_default().push(*addr);
             }
--- a/crates/core/src/process/slowdown.rs
+++ b/crates/core/src/process/slowdown.rs
@@ -69,6 +69,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct SlowdownRamp {
     current: Slowdown,
+    target: Slowdown,
     stepped: Option<Timestamp>,
 }
 
@@ -78,8 +79,14 @@
         self.current
     }
 
+    /// Returns the slowdown that is aimed at.
+    pub(super) fn target(&self) -> Slowdown {
+        self.target
+    }
+
     /// Moves the slowdown towards `target`.
     pub(super) fn update(&mut self, now: Timestamp, target: Slowdown) {
+        self.target = target;
         let stepped = *self.stepped.get_or_insert(now);
         let steps = now.since(stepped).as_micros() / GROWTH_STEP.as_micros();
         self.stepped = Some(stepped + GROWTH_STEP.times(steps));
--- a/crates/core/src/process/workspace_quota.rs
+++ b/crates/core/src/process/workspace_quota.rs
@@ -219,7 +219,9 @@
     /// nodes.
     pub fn charge(&mut self, now: Timestamp, tag: u64, draw: f64) -> QuotaDecision {
         let context = self.context(now);
-        let Some(budget) = self.budget(now, tag) else { return QuotaDecision::Unlimited };
+        let Some(budget) = self.budget(now, &context, tag) else {
+            return QuotaDecision::Unlimited;
+        };
         let was_reported = budget.is_reported();
         let is_admitted = budget.charge(now, &context, draw);
         let decision = if is_admitted {
@@ -261,7 +263,7 @@
         }
         let context = self.context(now);
         let scale = scale / self.loss.arriving(now);
-        let Some(budget) = self.budget(now, report.tag) else { return };
+        let Some(budget) = self.budget(now, &context, report.tag) else { return };
         let (admitted, offered) = (f64::from(report.admitted), f64::from(report.offered));
         budget.record_peer(now, &context, admitted * scale, offered * scale);
         if !relay || report.offered == 0 {
@@ -335,7 +337,7 @@
         if !context.is_new || !tokens.is_finite() || !(0.0..=1e9).contains(&demand) {
             return;
         }
-        if let Some(budget) = self.budget(now, tag) {
+        if let Some(budget) = self.budget(now, &context, tag) {
             budget.adopt_level(now, &context, tokens, demand);
         }
     }
@@ -368,9 +370,8 @@
     }
 
     /// Returns the budget of a workspace, which is created with its first use. `None` if the workspace has no quota.
-    fn budget(&mut self, now: Timestamp, tag: u64) -> Option<&mut Budget> {
-        let context = self.context(now);
+    fn budget(&mut self, now: Timestamp, context: &Context, tag: u64) -> Option<&mut Budget> {
         let quota = self.quotas.get(&tag)?;
-        Some(self.budgets.entry(tag).or_insert_with(|| Budget::new(now, *quota, &context)))
+        Some(self.budgets.entry(tag).or_insert_with(|| Budget::new(now, *quota, context)))
     }
 }
--- a/crates/core/src/process/workspace_quota/budget.rs
+++ b/crates/core/src/process/workspace_quota/budget.rs
@@ -116,8 +116,7 @@
         let is_whole = is_new && self.has_level;
         let heard = f64::from(nodes.live.min(nodes.known)) / f64::from(nodes.known.max(1));
         let heard = if is_whole { 1.0 } else { heard };
-        let is_closed = per_second <= 0.0 && burst <= 0.0;
-        let extra = if is_closed { 0.0 } else { SLACK_USED * slack };
+        let extra = if self.is_closed() { 0.0 } else { SLACK_USED * slack };
         let per_second = (1.0 + RATE_EXCESS_USED * over) * per_second * heard;
         BucketRate {
             per_second,
@@ -163,15 +162,17 @@
     /// Returns by how many requests the quota may be exceeded beside the excess of the rate. A quota of 0 admits nothing.
     fn allowed_excess(&self, context: &Context) -> f64 {
         let QuotaOptions { over, slack } = context.options;
-        let Quota { per_second, burst } = self.quota;
-        let is_closed = per_second <= 0.0 && burst <= 0.0;
-        if is_closed {
+        if self.is_closed() {
             0.0
         } else {
-            over * burst + slack
+            over * self.quota.burst + slack
         }
     }
 
+    fn is_closed(&self) -> bool {
+        self.quota.per_second <= 0.0 && self.quota.burst <= 0.0
+    }
+
     /// Returns the recent requests at this node without one, as a single request says nothing about other nodes.
     fn further_count(&self, now: Timestamp) -> f64 {
         (self.own_demand.count(now) - 1.0).max(0.0)
--- a/crates/gateway/src/gossip/catch_up.rs
+++ b/crates/gateway/src/gossip/catch_up.rs
@@ -19,9 +19,6 @@
 /// A node that stays behind others for this long watches the store itself.
 const MAX_TIME_BEHIND: Span = Span::from_millis(600);
 
-/// How long a node that was behind watches the store itself.
-const DIRECT_WATCH_TIME: Span = Span::from_secs(10);
-
 /// How long a node that watches the store and is behind a peer waits for the store before it asks the peer.
 const STORE_GRACE: Span = Span::from_millis(300);
 
@@ -36,7 +33,7 @@
 impl CatchUp {
     /// Gets newer state from a peer that is ahead of this node.
     pub(super) fn fetch_newer_state(&mut self, now: Timestamp, shared: &Arc<Shared>) {
-        let version = shared.routing_config.load().as_ref().map_or(0, |c| c.version());
+        let version = shared.config_version();
         let Some(peer) = newer_peer(now, version, shared) else {
             self.behind_since = None;
             return;
@@ -45,7 +42,7 @@
         if now.since(since) >= MAX_TIME_BEHIND {
             log::info!(target: "peers", peer:% = peer, version;
                 "this node stays behind its peers and watches the store itself for a while");
-            shared.watch_directly(DIRECT_WATCH_TIME);
+            shared.watch_directly();
             self.behind_since = Some(now);
         }
         let is_reader = version > 0 && shared.is_reader();
--- a/crates/gateway/src/gossip/mod.rs
+++ b/crates/gateway/src/gossip/mod.rs
@@ -295,9 +295,17 @@
             (fleet.registry.limit_reports(now), fleet.crash_records.reports(now))
         };
         let rows: Vec<LimitDoc> = limit_reports.into_iter().map(LimitDoc::from).collect();
-        self.send_rows(&rows, &[to], |rows| Datagram::Limits { relay: false, rows }).await;
+        self.send_rows(&rows, MAX_SERVER_ROWS, &[to], |rows| Datagram::Limits {
+            relay: false,
+            rows,
+        })
+        .await;
         let rows: Vec<CrashDoc> = crash_reports.into_iter().map(CrashDoc::from).collect();
-        self.send_rows(&rows, &[to], |rows| Datagram::Crashes { relay: false, rows }).await;
+        self.send_rows(&rows, MAX_SERVER_ROWS, &[to], |rows| Datagram::Crashes {
+            relay: false,
+            rows,
+        })
+        .await;
         self.send_levels(now, to).await;
     }
 
@@ -313,9 +321,7 @@
         }
         let levels = self.shared.quotas().levels(now);
         let rows: Vec<LevelDoc> = levels.into_iter().map(LevelDoc::from).collect();
-        for rows in rows.chunks(MAX_QUOTA_ROWS) {
-            self.send(&Datagram::QuotaLevels(rows.to_vec()), &[to]).await;
-        }
+        self.send_rows(&rows, MAX_QUOTA_ROWS, &[to], Datagram::QuotaLevels).await;
     }
 
     /// Records the requests of workspaces at another node, see [`Datagram::Quotas`].
@@ -362,17 +368,15 @@
             [(due.near, false, scale, near), (due.far, true, 1.0, relays)]
         {
             let rows: Vec<QuotaDoc> = rows.into_iter().map(QuotaDoc::from).collect();
-            for rows in rows.chunks(MAX_QUOTA_ROWS) {
-                self.send(&Datagram::Quotas { relay, number, scale, rows: rows.to_vec() }, &to)
-                    .await;
-            }
+            let datagram = |rows| Datagram::Quotas { relay, number, scale, rows };
+            self.send_rows(&rows, MAX_QUOTA_ROWS, &to, datagram).await;
         }
     }
 
     /// Returns this node's status, with what follows it in its datagram.
     fn status(&self) -> (Datagram, StatusTail) {
         let state = self.shared.node_state().into();
-        let config_version = self.shared.routing_config.load().as_ref().map_or(0, |c| c.version());
+        let config_version = self.shared.config_version();
         let (position, store_reachable, contact, slowdown) = {
             let fleet = self.shared.fleet();
             let is_failing = fleet.server_watch.is_failing() || fleet.config_watch.is_failing();
@@ -424,18 +428,19 @@
             return;
         }
         let (near, relays) = self.report_targets(self.shared.now(), audience);
-        self.send_rows(rows, &near, |rows| datagram(false, rows)).await;
-        self.send_rows(rows, &relays, |rows| datagram(true, rows)).await;
+        self.send_rows(rows, MAX_SERVER_ROWS, &near, |rows| datagram(false, rows)).await;
+        self.send_rows(rows, MAX_SERVER_ROWS, &relays, |rows| datagram(true, rows)).await;
     }
 
-    /// Sends rows in as many datagrams as they need.
+    /// Sends rows in as many datagrams as they need, with at most `most` in each.
     async fn send_rows<T: Copy>(
         &self,
         rows: &[T],
+        most: usize,
         to: &[SocketAddr],
         datagram: impl Fn(Vec<T>) -> Datagram,
     ) {
-        for chunk in rows.chunks(MAX_SERVER_ROWS) {
+        for chunk in rows.chunks(most) {
             self.send(&datagram(chunk.to_vec()), to).await;
         }
     }
@@ -461,7 +466,6 @@
             let mut quotas = self.shared.quotas();
             quotas.set_nodes(now, counts);
             quotas.tick(now);
-            metrics::gauge!("redwing_quota_workspaces").set(quotas.active_count() as f64);
         }
         if live_nodes != self.live_nodes {
             log::info!(target: "peers", nodes = live_nodes, before = self.live_nodes;
@@ -487,20 +491,15 @@
         self.catch_up.fetch_newer_state(now, &self.shared);
     }
 
-    /// Logs a change of the slowdown that suits the fleet, and shows the one in force, which follows it slowly.
+    /// Logs a change of the slowdown that suits the fleet. The one in force follows it slowly.
     fn log_slowdown(&mut self) {
-        let (current, suitable, typical) = {
-            let peers = &self.shared.fleet().peers;
-            (peers.slowdown(), peers.suitable_slowdown(), peers.typical_share())
-        };
-        metrics::gauge!("redwing_gateway_message_slowdown").set(f64::from(current.percent()) / 1e2);
-        metrics::gauge!("redwing_gateway_typical_cores")
-            .set(f64::from(typical.thousandths()) / 1e3);
-        if suitable != self.slowdown {
-            log::info!(target: "peers", percent = suitable.percent(), before = self.slowdown.percent(),
+        let target = self.shared.fleet().peers.target_slowdown();
+        if target != self.slowdown {
+            let typical = self.shared.fleet().peers.typical_share();
+            log::info!(target: "peers", percent = target.percent(), before = self.slowdown.percent(),
                 typical_thousandths = typical.thousandths();
                 "the intervals of messages to other nodes change with the processors of the fleet");
-            self.slowdown = suitable;
+            self.slowdown = target;
         }
     }
 
--- a/crates/gateway/src/http_api.rs
+++ b/crates/gateway/src/http_api.rs
@@ -57,6 +57,13 @@
         metrics::gauge!("redwing_gateway_collected_bytes", "kind" => kind)
             .set(memory.used() as f64);
     }
+    metrics::gauge!("redwing_quota_workspaces").set(shared.quotas().active_count() as f64);
+    let (slowdown, typical) = {
+        let peers = &shared.fleet().peers;
+        (peers.slowdown(), peers.typical_share())
+    };
+    metrics::gauge!("redwing_gateway_message_slowdown").set(f64::from(slowdown.percent()) / 1e2);
+    metrics::gauge!("redwing_gateway_typical_cores").set(f64::from(typical.thousandths()) / 1e3);
     telemetry::render()
 }
 
--- a/crates/gateway/src/peer_rpc.rs
+++ b/crates/gateway/src/peer_rpc.rs
@@ -17,7 +17,6 @@
         server_registry::ServerRecord,
         stream_position::{EraChange, StreamPosition},
     },
-    time::Span,
     version::routing_config::RoutingConfigDoc,
 };
 use serde::{Deserialize, Serialize};
@@ -171,29 +170,24 @@
     NewerStateDoc { routing_config, reads_workspaces: true, servers }
 }
 
-/// How long a node watches the store itself after a peer gave it a configuration that may lack workspaces.
-const DIRECT_WATCH_TIME: Span = Span::from_secs(10);
-
 /// Applies a configuration of a peer. One of a peer that does not read workspaces may lack them: beside workspaces it is
 /// ignored, and otherwise this node reads the store itself to complete it.
 fn apply_config(shared: &Shared, doc: &RoutingConfigDoc, reads_workspaces: bool, peer: SocketAddr) {
     let has_workspaces = shared.routing_config.load().as_ref().is_some_and(|c| c.has_workspaces());
-    if !reads_workspaces && !has_workspaces {
-        shared.apply_partial_config(doc);
-        shared.watch_directly(DIRECT_WATCH_TIME);
-        return;
-    }
-    if !reads_workspaces {
+    if reads_workspaces {
+        shared.apply_config(doc, "peer");
+    } else if has_workspaces {
         log::info!(target: "peers", peer:% = peer, version = doc.version;
             "a configuration of a node of an older version is ignored, as it may lack the workspaces");
-        return;
+    } else {
+        shared.apply_partial_config(doc);
+        shared.watch_directly();
     }
-    shared.apply_config(doc, "peer");
 }
 
 /// Gets the state that is newer than this node's from the node at `addr`, and applies it.
 pub async fn fetch(shared: Arc<Shared>, addr: SocketAddr) {
-    let version = shared.routing_config.load().as_ref().map_or(0, |c| c.version());
+    let version = shared.config_version();
     let (known, peer_era) = {
         let fleet = shared.fleet();
         (fleet.server_watch.position().unwrap_or_default(), fleet.peers.era_of(addr))
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -132,7 +132,7 @@
 fn record_refusal(shared: &Shared, attempt: &str, refusal: &Refusal) {
     let code = refusal.code;
     log::info!(target: "requests", attempt, code = code.number(), workspace = refusal.workspace.as_deref(),
-        version = shared.routing_config.load().as_ref().map_or(0, |c| c.version());
+        version = shared.config_version();
         "request refused before it was sent to a server: {code}");
     metrics::counter!("redwing_gateway_refusals_total", "code" => code.to_string()).increment(1);
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -37,6 +37,9 @@
 };
 use tokio::sync::{watch, Notify};
 
+/// How long a node that other nodes did not serve with records watches the store itself.
+const DIRECT_WATCH_TIME: Span = Span::from_secs(10);
+
 /// The phase of the process's lifecycle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -290,27 +293,33 @@
         fleet.watch(stream).role(now, is_overdue, usual)
     }
 
-    /// Makes this node watch the store itself for `time`.
-    pub fn watch_directly(&self, time: Span) {
-        *self.watch_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(self.now() + time);
+    /// Makes this node watch the store itself for [`DIRECT_WATCH_TIME`].
+    pub fn watch_directly(&self) {
+        let until = self.now() + DIRECT_WATCH_TIME;
+        *self.watch_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(until);
+    }
+
+    /// Returns the version of the configuration in force, 0 before the first.
+    pub fn config_version(&self) -> u64 {
+        self.routing_config.load().as_ref().map_or(0, |config| config.version())
     }
 
-    /// Puts a configuration in force if it is newer than the current one, and returns whether it is.
+    /// Puts a configuration in force if it is newer than the current one or completes it, and returns whether it does.
     pub fn apply_config(&self, doc: &RoutingConfigDoc, source: &str) -> bool {
-        let known = self.routing_config.load().as_ref().map_or(0, |c| c.version());
+        let known = self.config_version();
         let completes = doc.version == known && self.has_partial_config.load(Ordering::SeqCst);
-        if doc.version < known || (doc.version == known && !completes) {
-            return false;
+        let is_taken = doc.version > known || completes;
+        if is_taken {
+            self.has_partial_config.store(false, Ordering::SeqCst);
+            self.put_in_force(doc, known, source);
         }
-        self.has_partial_config.store(false, Ordering::SeqCst);
-        self.put_in_force(doc, known, source);
-        true
+        is_taken
     }
 
     /// Puts a configuration in force that may lack workspaces, if it is newer than the current one. The same version from
     /// another source replaces it.
     pub fn apply_partial_config(&self, doc: &RoutingConfigDoc) {
-        let known = self.routing_config.load().as_ref().map_or(0, |c| c.version());
+        let known = self.config_version();
         if doc.version > known {
             self.has_partial_config.store(true, Ordering::SeqCst);
             self.put_in_force(doc, known, "peer of an older version");
